--- /dev/null
+++ b/arrowrail/__init__.py
@@ -0,0 +1,1 @@
+"""The real call controller: sockets, state and process around the decisions of ``trackhatch``."""
--- /dev/null
+++ b/arrowrail/core.py
@@ -0,0 +1,413 @@
+"""Requests, attempts and outcomes: all that lies between any front, the decision module and any back.
+
+Knows no wire.  Fronts offer requests and are handed final answers; backs are handed attempts and
+report what became of them.  What a turn of the loop brought goes to ``Controller.step`` as one batch, and the
+actions that come back are carried out after a last check of the rules.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from arrowrail.state.deadlines import Deadline, Deadlines
+from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk, Directory, Told
+from arrowrail.state.slots import SlotTable
+from trackhatch import Controller
+from trackhatch import interface as i
+
+MS = 1_000_000
+PAUSED_AFTER = ("no_answer", "connection_lost", "called_off")
+OVERDUE_NS = 10 * MS  # past the deadline: inside the slack of every known site, and time for the module
+ENDED_KEPT_NS = 30_000 * MS  # how long a late message for an ended call is recognised as such
+
+STANDS, REFUSED, FAILED = "stands", "refused", "failed"
+Q850_NORMAL, Q850_CUT = 16, 41
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A request as any front words it."""
+
+    call: str  # unique for good; 16 hex digits
+    class_name: str
+    number: str  # the number called, as the caller wrote it
+    key: int  # the number called, for the module
+    destination: int
+    width: int
+    deadline_ns: int
+    description: bytes
+    in_transit: bool = False
+    redialled: bool = False
+    came_back: bool = False
+    via: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a request."""
+
+    kind: str  # STANDS, REFUSED or FAILED
+    description: bytes = b""
+    stay_away_ns: int = 0
+    outcome: str = ""  # of the last attempt, where one was made: a front may word its refusal by it
+    cause: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A release by a desk exchange, read both ways: only the core knows whether the call stood."""
+
+    outcome: str  # if the call did not stand yet
+    cause: int = 0
+    stood: str = "served"  # if it did
+
+
+@dataclass(slots=True)
+class Attempt:
+    number: int
+    desk: Desk
+    sent_ns: int
+    timer: Deadline | None = None
+
+
+@dataclass(slots=True)
+class Request:
+    offer: Offer
+    front: Front
+    line: int  # the front's own handle for where the answer goes
+    handle: int = 0
+    attempts: int = 0
+    out: Attempt | None = None  # the attempt that is out, or that stands
+    stands: bool = False
+    not_before: int = 0
+    timer: Deadline | None = None
+    last: tuple[str, int] = ("", 0)  # outcome and cause of the last attempt
+
+
+class Front(Protocol):
+    def answer(self, request: Request, answer: Answer) -> None: ...
+    def release(self, request: Request, cause: int) -> None: ...
+    def release_unknown(self, call: str, cause: int) -> None: ...
+
+
+class Back(Protocol):
+    def changed(self, desk: Desk) -> None:
+        """News of the list: open, withdraw what is still queued, or close."""
+
+    def set_up(self, desk: Desk, offer: Offer, wait_ns: int) -> None: ...
+    def give_up(self, desk: Desk, call: str) -> None:
+        """Take the set-up back if it is still queued, else tell the desk exchange."""
+
+    def release(self, desk: Desk, call: str, cause: int) -> None: ...
+
+
+class Core:
+    def __init__(self, settings: i.Settings, seed: int, deadlines: Deadlines) -> None:
+        self.settings = settings
+        self.module = Controller(settings, seed)
+        self.deadlines = deadlines
+        self.directory = Directory()
+        self.requests: SlotTable[Request] = SlotTable()
+        self.by_call: dict[str, int] = {}
+        self.ended: dict[str, int] = {}  # calls that are over, oldest first, until when they are remembered
+        self.backs: dict[str, Back] = {}
+        self.fronts: list[Front] = []
+        self.events: list[i.Event] = []
+        self.listed = False
+        self.unanswered = 0  # requests that are still owed their final answer
+        self.defects = 0  # checks that fired: each is a defect of ours to find
+
+    @property
+    def now(self) -> int:
+        return self.deadlines.now
+
+    # --- From the fronts --------------------------------------------------------------------------------
+
+    def offer(self, front: Front, line: int, offer: Offer) -> bool:
+        """Take a request; false if its id is known already: it was taken once and is answered once."""
+        if offer.call in self.by_call or offer.call in self.ended:
+            return False
+        request = Request(offer, front, line)
+        request.handle = self.requests.add(request)
+        self.by_call[offer.call] = request.handle
+        self.unanswered += 1
+        handle = request.handle
+        request.timer = self.deadlines.at(offer.deadline_ns, lambda: self._deadline(handle))
+        self.events.append(
+            i.CallOffered(
+                offer.call, offer.class_name, "", offer.destination, offer.key, offer.width,
+                offer.deadline_ns, 0, offer.in_transit, offer.redialled, offer.came_back, offer.via,
+            )
+        )  # fmt: skip
+        return True
+
+    def find(self, call: str) -> Request | None:
+        return self.requests.get(self.by_call.get(call, -1))
+
+    def caller_gone(self, call: str) -> bool:
+        """The caller no longer waits: the attempt is given up and no answer is owed."""
+        request = self.find(call)
+        if request is None or request.stands:
+            return False
+        self.events.append(i.CallerGone(call))
+        attempt = request.out
+        if attempt is not None:
+            self._back(attempt.desk).give_up(attempt.desk, call)
+            self._attempt_over(request, attempt, "called_off", 0, True)
+        self._forget(request)
+        return True
+
+    def caller_released(self, call: str) -> bool:
+        """The caller ends a call that stands, on whichever connection; false if there is none."""
+        request = self.find(call)
+        if request is None or request.out is None:
+            return False
+        attempt = request.out
+        if not request.stands:
+            return self.caller_gone(call)
+        self._back(attempt.desk).release(attempt.desk, call, Q850_NORMAL)
+        self._attempt_over(request, attempt, "called_off", 0, True)
+        self._forget(request)
+        return True
+
+    # --- From the backs ---------------------------------------------------------------------------------
+
+    def desk_answered(self, desk: Desk, call: str, description: bytes) -> None:
+        request = self.find(call)
+        attempt = request.out if request is not None else None
+        if request is None or attempt is None or attempt.desk is not desk:
+            # A crossed answer: its call was cancelled, timed out or went elsewhere, and must not stand here.
+            self._back(desk).release(desk, call, Q850_NORMAL)
+            return
+        if request.stands:
+            return  # told twice
+        request.stands = True
+        self.unanswered -= 1
+        self._cancel(request, attempt)
+        self.events.append(i.CallStands(call, desk.office, attempt.number, self.now - attempt.sent_ns))
+        request.front.answer(request, Answer(STANDS, description))
+
+    def desk_released(self, desk: Desk, call: str, ended: Ended, cause: int) -> None:
+        """The desk exchange refuses the set-up, or ends a call that stood."""
+        request = self.find(call)
+        if request is None:
+            if call not in self.ended:
+                # From before our restart: the caller still holds the call and has to hear of its end.
+                self.ended[call] = self.now + ENDED_KEPT_NS
+                for front in self.fronts:
+                    front.release_unknown(call, cause)
+            return
+        attempt = request.out
+        if attempt is None or attempt.desk is not desk:
+            return  # late news of an attempt that was given up
+        if request.stands:
+            self._attempt_over(request, attempt, ended.stood, 0, True)
+            request.front.release(request, cause)
+            self._forget(request)
+        else:
+            self._attempt_over(request, attempt, ended.outcome, ended.cause, False)
+
+    def attempt_failed(self, desk: Desk, call: str, outcome: str) -> None:
+        """The back lost the attempt: never sent, or its connection broke before the answer."""
+        request = self.find(call)
+        attempt = request.out if request is not None and not request.stands else None
+        if request is not None and attempt is not None and attempt.desk is desk:
+            self._attempt_over(request, attempt, outcome, 0, False)
+
+    def desk_gone(self, desk: Desk) -> None:
+        """Nothing runs there any more: what stood is cut, what was out is lost."""
+        for request in self.requests:
+            attempt = request.out
+            if attempt is None or attempt.desk is not desk:
+                continue
+            self._attempt_over(request, attempt, "connection_lost", 0, request.stands)
+            if request.stands:
+                request.front.release(request, Q850_CUT)
+                self._forget(request)
+
+    def standing_at(self, desk: Desk) -> bool:
+        return any(r.stands and r.out is not None and r.out.desk is desk for r in self.requests)
+
+    def group_state(self, desk: Desk, free: float, size: float) -> None:
+        self.events.append(i.GroupReport(desk.office, "served", 0, i.Report(free, size, ())))
+
+    def list_news(self, source: str, whole: bool, lines: Iterable[Told]) -> None:
+        """News of the exchange list, whichever source tells it."""
+        changed = self.directory.apply(self.now, source, whole, lines)
+        if not changed:
+            return
+        entries = tuple(
+            i.ListEntry(d.office, d.told.zone, d.told.exchange, d.told.state, d.told.since_ns)
+            for d in changed
+        )
+        self.events.append(i.ExchangeList("update" if self.listed else "restored", entries))
+        self.listed = True
+        for desk in changed:
+            if desk.told.exchange == self.settings.own_exchange:
+                continue  # nothing is ever sent to the own exchange
+            self._back(desk).changed(desk)
+            if desk.told.state == TERMINATED:
+                self.desk_gone(desk)
+
+    # --- The turn ---------------------------------------------------------------------------------------
+
+    def turn(self) -> None:
+        """Hand what this turn brought to the module, as one batch, and carry its actions out."""
+        while self.ended and next(iter(self.ended.values())) < self.now:
+            del self.ended[next(iter(self.ended))]
+        if not self.events:
+            return
+        events, self.events = self.events, []
+        try:
+            actions = self.module.step(self.now, events)
+        except Exception:
+            # Guards against one event that the module can't digest ending the process: the calls of this
+            # batch then get their answer at the deadline, and all others go on.
+            logger.exception("the decision module failed on a batch of {} events", len(events))
+            self.defects += 1
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.SetUp(call, office, time_out):
+                self._set_up(call, office, time_out)
+            case i.Refuse(call, stay_away):
+                self._answer(call, REFUSED, stay_away)
+            case i.GiveUp(call):
+                # What the attempt held may stay taken for the release pause: no sooner is another try of use.
+                self._answer(call, FAILED, self.settings.release_ns if self.settings.may_advise_wait else 0)
+            case i.SetTimer(in_ns, mark):
+                self.deadlines.at(self.now + in_ns, lambda: self.events.append(i.TimerDue(mark)))
+            case i.CancelSetUp(call, number):
+                request = self.find(call)
+                attempt = request.out if request is not None and not request.stands else None
+                if request is not None and attempt is not None and attempt.number == number:
+                    self._give_up(request, attempt, "called_off")
+            case i.FollowList():
+                pass  # the list is followed from the start
+            case _:
+                logger.debug("no use for {}", action)
+
+    def _set_up(self, call: str, office: int, time_out: int) -> None:
+        request, desk = self.find(call), self.directory.get(office)
+        why = self._breaks_a_rule(request, desk)
+        if why or request is None or desk is None:
+            self.defects += 1
+            logger.error("set-up of call {} to office {} kept back: {}", call, office, why)
+            number = request.attempts if request is not None else 0
+            if request is not None:
+                request.attempts += 1
+            self.events.append(i.AttemptEnded(call, office, number, "not_sent", 0, request is None, 0, None))
+            return
+        attempt = Attempt(request.attempts, desk, self.now)
+        request.attempts += 1
+        request.out = attempt
+        until = request.offer.deadline_ns
+        if time_out and self.now + time_out < until:
+            until = self.now + time_out
+            handle = request.handle
+            attempt.timer = self.deadlines.at(until, lambda: self._timed_out(handle, attempt))
+        self._back(desk).set_up(desk, request.offer, until - self.now)
+
+    def _breaks_a_rule(self, request: Request | None, desk: Desk | None) -> str:
+        """The last check before anything leaves; the text says which rule it is."""
+        if request is None:
+            return "the call is over"
+        if desk is None:
+            return "the office was never listed"
+        if request.stands or request.out is not None:
+            return "an attempt is out already"
+        if request.attempts >= self.settings.max_attempts:
+            return "no attempt is left"
+        if self.now < request.not_before:
+            return "the release pause is not over"
+        if self.now >= request.offer.deadline_ns:
+            return "the deadline has passed"
+        if desk.told.state != IN_SERVICE and self.now - desk.drain_told_ns >= self.settings.drain_grace_ns:
+            return "the desk exchange drains or is gone"
+        meshed = self.settings.layout == "meshed"
+        if meshed and desk.told.exchange == self.settings.own_exchange:
+            return "it is the own exchange"
+        if request.offer.in_transit and desk.told.exchange != request.offer.destination:
+            return "a call in transit goes to its destination only"
+        return ""
+
+    # --- Ends -------------------------------------------------------------------------------------------
+
+    def _deadline(self, handle: int) -> None:
+        request = self.requests.get(handle)
+        if request is None or request.stands:
+            return
+        request.timer = self.deadlines.at(
+            request.offer.deadline_ns + OVERDUE_NS, lambda: self._overdue(handle)
+        )
+        if request.out is not None:
+            self._give_up(request, request.out, "no_answer")
+
+    def _overdue(self, handle: int) -> None:
+        """Guards rule 1 whatever the module does: no request outlives its deadline without an answer."""
+        request = self.requests.get(handle)
+        if request is None or request.stands:
+            return
+        self.defects += 1
+        logger.error("call {} was still unanswered past its deadline", request.offer.call)
+        self.events.append(i.CallerGone(request.offer.call))
+        self._answer(request.offer.call, FAILED, 0)
+
+    def _timed_out(self, handle: int, attempt: Attempt) -> None:
+        request = self.requests.get(handle)
+        if request is not None and request.out is attempt and not request.stands:
+            self._give_up(request, attempt, "no_answer")
+
+    def _give_up(self, request: Request, attempt: Attempt, outcome: str) -> None:
+        self._back(attempt.desk).give_up(attempt.desk, request.offer.call)
+        self._attempt_over(request, attempt, outcome, 0, False)
+
+    def _answer(self, call: str, kind: str, stay_away: int) -> None:
+        request = self.find(call)
+        if request is None or request.stands:
+            return
+        if request.out is not None:
+            self._give_up(request, request.out, "called_off")
+        outcome, cause = request.last
+        self._forget(request)
+        request.front.answer(request, Answer(kind, b"", stay_away, outcome, cause))
+
+    def _attempt_over(
+        self, request: Request, attempt: Attempt, outcome: str, cause: int, call_over: bool
+    ) -> None:
+        request.out = None
+        request.last = (outcome, cause)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        if outcome in PAUSED_AFTER:
+            request.not_before = self.now + self.settings.release_ns
+        self.events.append(
+            i.AttemptEnded(
+                request.offer.call, attempt.desk.office, attempt.number, outcome,
+                self.now - attempt.sent_ns, call_over, cause, None,
+            )
+        )  # fmt: skip
+
+    def _cancel(self, request: Request, attempt: Attempt) -> None:
+        for timer in (request.timer, attempt.timer):
+            if timer is not None:
+                timer.cancel()
+
+    def _forget(self, request: Request) -> None:
+        if not request.stands:
+            self.unanswered -= 1
+        if request.timer is not None:
+            request.timer.cancel()
+        self.requests.remove(request.handle)
+        del self.by_call[request.offer.call]
+        self.ended[request.offer.call] = self.now + ENDED_KEPT_NS
+
+    def _back(self, desk: Desk) -> Back:
+        return self.backs[desk.told.back]
--- /dev/null
+++ b/arrowrail/run/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, the loop, signals and logging."""
--- /dev/null
+++ b/arrowrail/run/loop.py
@@ -0,0 +1,54 @@
+"""The one loop: readiness, deadlines, and a clock that is read once a turn."""
+
+from __future__ import annotations
+
+import contextlib
+import selectors
+import socket
+import time
+from collections.abc import Callable
+
+from arrowrail.state.deadlines import Deadlines
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+LONGEST_SLEEP_NS = 1_000_000_000
+Ready = Callable[[int], None]
+
+
+class Loop:
+    """``turn`` waits, reads the clock, hands readiness out and runs what is due."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        # Monotonic, anchored to Unix time once: list times compare with it, and it never steps back.
+        self._anchor = time.time_ns() - time.monotonic_ns()
+        self.deadlines = Deadlines(self._anchor + time.monotonic_ns())
+
+    @property
+    def now(self) -> int:
+        return self.deadlines.now
+
+    def watch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
+        try:
+            self._selector.modify(sock, mask, ready)
+        except KeyError:
+            self._selector.register(sock, mask, ready)
+
+    def unwatch(self, sock: socket.socket) -> None:
+        with contextlib.suppress(KeyError, ValueError):  # was never watched, or is closed already
+            self._selector.unregister(sock)
+
+    def turn(self, at_once: bool = False) -> None:
+        """One wait and what it brought; ``at_once`` where work is left that no socket announces."""
+        wait_ns = 0
+        if not at_once:
+            due = self.deadlines.next_at()
+            now = self._anchor + time.monotonic_ns()
+            wait_ns = LONGEST_SLEEP_NS if due is None else max(0, min(due - now, LONGEST_SLEEP_NS))
+        ready = self._selector.select(wait_ns / 1e9)
+        self.deadlines.now = self._anchor + time.monotonic_ns()
+        for key, mask in ready:
+            if self._selector.get_map().get(key.fd) is not key:
+                continue  # closed or changed by an earlier one of this turn
+            key.data(mask)
+        self.deadlines.run_due()
--- /dev/null
+++ b/arrowrail/state/deadlines.py
@@ -0,0 +1,57 @@
+"""All deadlines of the process, in one ordered structure."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+
+class Deadline:
+    """One thing to do at a time; ``cancel`` leaves it in the order, to be passed over."""
+
+    __slots__ = ("act", "at")
+
+    def __init__(self, at: int, act: Callable[[], None] | None) -> None:
+        self.at, self.act = at, act
+
+    def cancel(self) -> None:
+        self.act = None  # also lets go of what the callback holds
+
+
+class Deadlines:
+    """A heap by time, then by order of entry, so that equal times run as they were set."""
+
+    __slots__ = ("_heap", "_order", "now")
+
+    def __init__(self, now: int = 0) -> None:
+        self.now = now  # the one clock: read by the loop, once a turn
+        self._heap: list[tuple[int, int, Deadline]] = []
+        self._order = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def at(self, when: int, act: Callable[[], None]) -> Deadline:
+        deadline = Deadline(when, act)
+        self._order += 1
+        heapq.heappush(self._heap, (when, self._order, deadline))
+        if self._order % 4096 == 0:
+            # Guards against cancelled entries with far times piling up between the live ones.
+            self._heap = [entry for entry in self._heap if entry[2].act is not None]
+            heapq.heapify(self._heap)
+        return deadline
+
+    def next_at(self) -> int | None:
+        while self._heap and self._heap[0][2].act is None:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def run_due(self) -> None:
+        """Run all that is due; what a callback sets for now or earlier waits for the next turn."""
+        due = []
+        while self._heap and self._heap[0][0] <= self.now:
+            due.append(heapq.heappop(self._heap)[2])
+        for deadline in due:
+            act, deadline.act = deadline.act, None
+            if act is not None:
+                act()
--- /dev/null
+++ b/arrowrail/state/directory.py
@@ -0,0 +1,94 @@
+"""The exchange list as this controller was told it, from one or more sources."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+IN_SERVICE, TERMINATING, TERMINATED = "in_service", "terminating", "terminated"
+STATES = (IN_SERVICE, TERMINATING, TERMINATED)
+GONE_KEPT = 128  # entries of gone exchanges that are remembered, so that late news finds them
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One line of a source's list: a desk exchange, where it listens and how it is spoken to."""
+
+    uid: str
+    endpoint: str  # address:port
+    zone: str
+    exchange: int
+    state: str
+    since_ns: int  # Unix time of a late start; 0: long ago
+    back: str = "binary"  # which back speaks to it
+    point_code: int = 0  # of an exchange that signals in the M3UA style
+
+
+@dataclass(slots=True)
+class Desk:
+    """A desk exchange under the number that the decision module knows it by."""
+
+    office: int
+    source: str
+    told: Told
+    drain_told_ns: int = 0  # when this controller was told that it drains or is gone
+
+
+class Directory:
+    """Interns uids as office numbers.  A uid is one exchange for life, whatever address it has.
+
+    Guards against an address that a new exchange took over: it has another uid, hence another number, and
+    what is late for the old one cannot reach it.
+    """
+
+    def __init__(self) -> None:
+        self.desks: dict[int, Desk] = {}
+        self._offices: dict[str, int] = {}
+        self._last = 0
+
+    def get(self, office: int) -> Desk | None:
+        return self.desks.get(office)
+
+    def apply(self, now: int, source: str, whole: bool, lines: Iterable[Told]) -> list[Desk]:
+        """Take news in; returns the exchanges that changed, each once, in the order told."""
+        changed: dict[int, Desk] = {}
+        named = set()
+        for told in lines:
+            named.add(told.uid)
+            desk = self._take(now, source, told)
+            if desk is not None:
+                changed[desk.office] = desk
+        if whole:  # absent from a whole list of its source: gone
+            for desk in list(self.desks.values()):
+                known = desk.told
+                if desk.source == source and known.uid not in named and known.state != TERMINATED:
+                    gone = Told(known.uid, known.endpoint, known.zone, known.exchange, TERMINATED,
+                                known.since_ns, known.back, known.point_code)  # fmt: skip
+                    self._take(now, source, gone)
+                    changed[desk.office] = desk
+        self._forget()
+        return list(changed.values())
+
+    def _take(self, now: int, source: str, told: Told) -> Desk | None:
+        office = self._offices.get(told.uid)
+        if office is None:
+            if told.state == TERMINATED:
+                return None  # never heard of: nothing can be out there
+            self._last += 1
+            desk = Desk(self._last, source, told)
+            self._offices[told.uid], self.desks[desk.office] = desk.office, desk
+        else:
+            desk = self.desks[office]
+            if desk.told == told:
+                return None
+            desk.told = told
+        if told.state == IN_SERVICE:
+            desk.drain_told_ns = 0
+        elif desk.drain_told_ns == 0:
+            desk.drain_told_ns = now
+        return desk
+
+    def _forget(self) -> None:
+        gone = [d for d in self.desks.values() if d.told.state == TERMINATED]
+        for desk in gone[: max(0, len(gone) - GONE_KEPT)]:
+            del self.desks[desk.office], self._offices[desk.told.uid]
--- /dev/null
+++ b/arrowrail/wire/binary.py
@@ -0,0 +1,112 @@
+"""The desk exchanges' binary messages: bytes to one small value and back."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+
+MAX_MESSAGE = 16 * 1024
+SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, GROUP, TEST, TESTED = 1, 6, 9, 12, 16, 43, 52, 53
+P_CLASS, P_WAIT, P_NUMBER, P_NOTE, P_TOLD_WAIT, P_GROUP, P_CAUSE, P_DESCRIPTION = (
+    129, 132, 141, 150, 153, 156, 171, 174,
+)  # fmt: skip
+HEAD = struct.Struct(">HBQ")
+PARAMETER = struct.Struct(">BH")
+
+
+class BinaryError(Exception):
+    """What came is no message: nothing behind it on the connection can be trusted."""
+
+
+@dataclass(frozen=True, slots=True)
+class DeskMessage:
+    kind: int
+    call: int
+    cause: int = 0
+    class_name: str = ""
+    number: str = ""
+    wait_ms: int = 0  # how long the controller will wait
+    note: str = ""
+    told_wait_ms: int = 0  # at a full processor
+    free: float = -1.0  # circuits of the group, in its state
+    size: float = -1.0
+    description: bytes = b""
+
+
+class BinaryParser:
+    __slots__ = ("_buffer",)
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[DeskMessage]:
+        """Whole messages so far; ``BinaryError`` on the first that is none."""
+        self._buffer += data
+        found = []
+        while len(self._buffer) >= 2:
+            length = int.from_bytes(self._buffer[:2], "big")
+            if length < HEAD.size - 2 or length > MAX_MESSAGE:
+                raise BinaryError(f"a message of {length} bytes")
+            if len(self._buffer) < 2 + length:
+                break
+            found.append(decode(bytes(self._buffer[: 2 + length])))
+            del self._buffer[: 2 + length]
+        return found
+
+
+def decode(frame: bytes) -> DeskMessage:
+    _, kind, call = HEAD.unpack_from(frame)
+    values: dict[int, bytes] = {}
+    at = HEAD.size
+    while at < len(frame):
+        if at + PARAMETER.size > len(frame):
+            raise BinaryError("half a parameter")
+        code, length = PARAMETER.unpack_from(frame, at)
+        at += PARAMETER.size
+        if at + length > len(frame):
+            raise BinaryError(f"parameter {code} runs past the end")
+        values[code] = frame[at : at + length]
+        at += length
+    cause = values.get(P_CAUSE, b"\0")
+    if len(cause) != 1 or (kind in (RELEASE, TESTED) and P_CAUSE not in values):
+        raise BinaryError("no usable cause")
+    try:
+        text = {
+            code: values[code].decode() for code in (P_CLASS, P_NUMBER, P_NOTE, P_GROUP) if code in values
+        }
+        free, size = _group(text.get(P_GROUP, ""))
+        return DeskMessage(
+            kind, call, cause[0], text.get(P_CLASS, ""), text.get(P_NUMBER, ""),
+            int(values.get(P_WAIT, b"0")), text.get(P_NOTE, ""), int(values.get(P_TOLD_WAIT, b"0")),
+            free, size,
+            values.get(P_DESCRIPTION, b""),
+        )  # fmt: skip
+    except ValueError as wrong:
+        raise BinaryError(f"a parameter makes no sense: {wrong}") from wrong
+
+
+def _group(text: str) -> tuple[float, float]:
+    pairs = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
+    return float(pairs.get("spare", -1)), float(pairs.get("total", -1))
+
+
+def encode(m: DeskMessage) -> bytes:
+    parts: list[tuple[int, bytes]] = []
+    if m.kind in (RELEASE, TEST, TESTED):
+        parts.append((P_CAUSE, bytes((m.cause,))))
+    if m.class_name:
+        parts.append((P_CLASS, m.class_name.encode()))
+    if m.wait_ms:
+        parts.append((P_WAIT, str(m.wait_ms).encode()))
+    if m.number:
+        parts.append((P_NUMBER, m.number.encode()))
+    if m.note:
+        parts.append((P_NOTE, m.note.encode()))
+    if m.told_wait_ms:
+        parts.append((P_TOLD_WAIT, str(m.told_wait_ms).encode()))
+    if m.size >= 0:
+        parts.append((P_GROUP, f"spare:{m.free:g};total:{m.size:g}".encode()))
+    if m.description:
+        parts.append((P_DESCRIPTION, m.description))
+    body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in parts)
+    return HEAD.pack(HEAD.size - 2 + len(body), m.kind, m.call) + body
--- /dev/null
+++ b/arrowrail/wire/bus.py
@@ -0,0 +1,115 @@
+"""The event bus: server-sent events over HTTP, and the list news that they carry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import httptools
+import orjson
+
+from arrowrail.state.directory import STATES, Told
+
+MAX_EVENT = 1024 * 1024  # a whole list of a large network is far below it
+
+
+class BusError(Exception):
+    """The stream, or an event on it, can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class BusEvent:
+    offset: int
+    whole: bool
+    lines: tuple[Told, ...]
+
+
+@dataclass(slots=True)
+class SseParser:
+    """Fields of server-sent events from any split of the bytes; comments only show that it lives."""
+
+    _rest: bytearray = field(default_factory=bytearray)
+    _data: list[str] = field(default_factory=list)
+    _size: int = 0
+
+    def feed(self, data: bytes) -> Iterator[str]:
+        self._rest += data
+        if len(self._rest) + self._size > MAX_EVENT:
+            raise BusError("an event over the limit")
+        *lines, rest = self._rest.split(b"\n")
+        self._rest = bytearray(rest)
+        for line in lines:
+            text = line.rstrip(b"\r").decode("utf-8", "replace")
+            if not text:
+                if self._data:
+                    yield "\n".join(self._data)
+                self._data, self._size = [], 0
+            elif text.startswith("data:"):
+                self._data.append(text[5:].removeprefix(" "))
+                self._size += len(text)
+
+
+class StreamParser:
+    """The HTTP answer of the bus, chunked or not, down to its events."""
+
+    def __init__(self) -> None:
+        self._http = httptools.HttpResponseParser(self)
+        self._sse = SseParser()
+        self._found: list[BusEvent] = []
+        self.complete = False
+
+    def on_headers_complete(self) -> None:
+        if self._http.get_status_code() != 200:
+            raise BusError(f"status {self._http.get_status_code()}")
+
+    def on_body(self, body: bytes) -> None:
+        self._found += [read_event(text) for text in self._sse.feed(body)]
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    def feed(self, data: bytes) -> list[BusEvent]:
+        try:
+            self._http.feed_data(data)
+        except httptools.HttpParserCallbackError as wrong:
+            raise BusError(str(wrong.__context__ or wrong)) from wrong
+        except httptools.HttpParserError as wrong:
+            raise BusError(str(wrong)) from wrong
+        found, self._found = self._found, []
+        return found
+
+
+def get(host: str, last: int) -> bytes:
+    return (
+        f"GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
+        f"Cache-Control: no-cache\r\nLast-Event-ID: {last}\r\n\r\n"
+    ).encode()
+
+
+def read_event(text: str) -> BusEvent:
+    try:
+        return event_of(orjson.loads(text))
+    except orjson.JSONDecodeError as wrong:
+        raise BusError(f"an event that is no JSON: {wrong}") from wrong
+
+
+def event_of(value: Any) -> BusEvent:
+    """One event, off the stream or from ``known``; other kinds than the list's count as empty news."""
+    try:
+        topology = value.get("topology") or {}
+        lines = tuple(told_of(line) for line in topology.get("targets") or ())
+        return BusEvent(int(value["offset"]), bool(topology.get("all")), lines)
+    except (AttributeError, KeyError, TypeError, ValueError) as wrong:
+        raise BusError(f"an event that makes no sense: {wrong!r}") from wrong
+
+
+def told_of(line: Any) -> Told:
+    state = str(line["state"])
+    if state not in STATES:
+        raise ValueError(f"state {state!r}")
+    return Told(
+        str(line["uid"]), str(line["endpoint"]), str(line.get("az", "")), int(line.get("pod_group", -1)),
+        state, int(line.get("boot_ms") or 0) * 1_000_000, str(line.get("signalling", "binary")),
+        int(line.get("point_code") or 0),
+    )  # fmt: skip
--- /dev/null
+++ b/arrowrail/wire/bus_client.py
@@ -0,0 +1,94 @@
+"""Follows the event bus: one connection that reads its stream, and comes back when it ends."""
+
+from __future__ import annotations
+
+import errno
+from functools import partial
+
+from loguru import logger
+
+from arrowrail.core import MS, Core
+from arrowrail.run.loop import Loop
+from arrowrail.state.deadlines import Deadline
+from arrowrail.wire.bus import BusError, BusEvent, StreamParser, get
+from arrowrail.wire.stream import Stream, connect
+
+FIRST_PAUSE_NS, LONGEST_PAUSE_NS = 50 * MS, 1_000 * MS
+SILENCE_NS = 3_000 * MS  # a comment comes each second: after three missed ones the stream is dead
+SOURCE = "bus"
+
+
+class BusClient:
+    def __init__(self, loop: Loop, core: Core, address: str) -> None:
+        self.loop, self.core, self.address = loop, core, address
+        self.last = 0
+        self.pause_ns = FIRST_PAUSE_NS
+        self.stream: Stream | None = None
+        self.parser = StreamParser()
+        self.silence: Deadline | None = None
+        self.asked_again_for = -1  # the gap that was asked for once already
+
+    def start(self, known: list[BusEvent], offset: int) -> None:
+        """What the configuration holds comes first; the stream goes on from there."""
+        for event in known:
+            self._take(event)
+        self.last = max(self.last, offset)
+        self.open()
+
+    def open(self) -> None:
+        self.parser = StreamParser()
+        try:
+            self.stream = connect(self.loop, self, self.address)
+        except OSError as why:  # no descriptor left
+            self.loop.deadlines.at(self.loop.now, partial(self.lost, why))
+            return
+        self.stream.send(get(self.address, self.last))
+        self._heard()
+
+    def connected(self) -> None:
+        self._heard()
+
+    def received(self, data: bytes) -> None:
+        self._heard()
+        try:
+            events = self.parser.feed(data)
+        except BusError as wrong:
+            logger.warning("event bus: {}", wrong)
+            self._cut(OSError(errno.EPROTO, str(wrong)))
+            return
+        for event in events:
+            if event.offset > self.last + 1 and self.asked_again_for != self.last:
+                # Guards against news lost in a gap: ask again from the last event held.  What is still
+                # missing then is not to be had, and the stream goes on behind it.
+                logger.warning("event bus: gap between {} and {}", self.last, event.offset)
+                self.asked_again_for = self.last
+                self._cut(None)
+                return
+            self._take(event)
+        if events:
+            self.pause_ns = FIRST_PAUSE_NS
+        if self.parser.complete:
+            self._cut(None)
+
+    def _take(self, event: BusEvent) -> None:
+        if event.offset <= self.last:
+            return  # held already
+        self.last = event.offset
+        self.core.list_news(SOURCE, event.whole, event.lines)
+
+    def _heard(self) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        late = OSError(errno.ETIMEDOUT, "silent")
+        self.silence = self.loop.deadlines.at(self.loop.now + SILENCE_NS, lambda: self._cut(late))
+
+    def _cut(self, why: OSError | None) -> None:
+        if self.stream is not None:
+            self.stream.fail(why)
+
+    def lost(self, _why: OSError | None) -> None:
+        self.stream = None
+        if self.silence is not None:
+            self.silence.cancel()
+        self.loop.deadlines.at(self.loop.now + self.pause_ns, self.open)
+        self.pause_ns = min(2 * self.pause_ns, LONGEST_PAUSE_NS)
--- /dev/null
+++ b/arrowrail/wire/sip_front.py
@@ -0,0 +1,289 @@
+"""The platform's front: callers' SIP connections, and what the core wants said on them."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from arrowrail.core import FAILED, MS, REFUSED, STANDS, Answer, Core, Offer, Request
+from arrowrail.run.loop import READ, Loop
+from arrowrail.state.slots import SlotTable
+from arrowrail.wire import sip
+from arrowrail.wire.stream import Stream, parse_address
+
+IDLE_NS = 20_000 * MS  # callers close theirs after 4 s: what idles longer has a peer that is gone
+SWEEP_NS = 1_000 * MS
+RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for a connection to go out on
+RESERVED = 128  # descriptors kept for desk exchanges, the list and the process itself
+FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Caller:
+    """One connection from callers; it carries many calls."""
+
+    __slots__ = ("front", "handle", "idle_since", "open_calls", "parser", "stream")
+
+    def __init__(self, front: SipFront, sock: socket.socket) -> None:
+        self.front = front
+        self.parser = sip.SipParser()
+        self.open_calls: set[str] = set()  # set-ups without their final answer
+        self.idle_since = front.loop.now
+        self.handle = front.callers.add(self)
+        self.stream = Stream(front.loop, sock, self)
+
+    def connected(self) -> None:
+        pass  # it was accepted
+
+    def received(self, data: bytes) -> None:
+        self.idle_since = self.front.loop.now
+        for message in self.parser.feed(data):
+            if isinstance(message, sip.Malformed):
+                self.front.malformed(self, message)
+            else:
+                self.front.message(self, message)
+        if self.parser.broken:
+            self.stream.finish()
+            self.lost(None)
+
+    def lost(self, _why: OSError | None) -> None:
+        self.front.gone(self)
+
+
+@dataclass(slots=True)
+class Dialog:
+    """What is needed to answer a set-up and to release the call later."""
+
+    invite: sip.SipMessage
+    standing: bool = False
+
+
+@dataclass(slots=True)
+class Undelivered:
+    message: bytes
+    until: int
+
+
+@dataclass(slots=True)
+class SipFront:
+    loop: Loop
+    core: Core
+    address: str
+    max_sockets: int
+    callers: SlotTable[Caller] = field(default_factory=SlotTable)
+    dialogs: dict[str, Dialog] = field(default_factory=dict)
+    undelivered: list[Undelivered] = field(default_factory=list)
+    listener: socket.socket | None = None
+    paused: bool = False
+
+    def start(self) -> None:
+        self.core.fronts.append(self)
+        host, port = parse_address(self.address)
+        self.listener = socket.create_server((host, port), backlog=512, reuse_port=False)
+        self.listener.setblocking(False)
+        self.loop.watch(self.listener, READ, self._accept)
+        self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
+
+    # --- Connections ------------------------------------------------------------------------------------
+
+    def _accept(self, _mask: int) -> None:
+        assert self.listener is not None
+        for _ in range(64):
+            if len(self.callers) >= max(8, self.max_sockets - RESERVED) and not self._close_idlest():
+                self._pause()
+                return
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as why:
+                if why.errno not in FULL:
+                    continue  # the caller was gone before it was accepted
+                # Guards against EMFILE spinning the loop: the connection stays in the backlog.
+                logger.warning("no descriptor for a caller: {}", why)
+                if not self._close_idlest():
+                    self._pause()
+                    return
+                continue
+            caller = Caller(self, sock)
+            waiting, self.undelivered = self.undelivered, []
+            for release in waiting:
+                caller.stream.send(release.message)
+
+    def _pause(self) -> None:
+        """Accept no more until a connection has closed, or the next sweep."""
+        if not self.paused and self.listener is not None:
+            self.paused = True
+            self.loop.unwatch(self.listener)
+
+    def _resume(self) -> None:
+        if self.paused and self.listener is not None:
+            self.paused = False
+            self.loop.watch(self.listener, READ, self._accept)
+
+    def _close_idlest(self) -> bool:
+        idle = [c for c in self.callers if not c.open_calls]
+        if not idle:
+            return False
+        self._close(min(idle, key=lambda c: c.idle_since))
+        return True
+
+    def _close(self, caller: Caller) -> None:
+        caller.stream.close()
+        self.gone(caller)
+
+    def _sweep(self) -> None:
+        now = self.loop.now
+        for caller in self.callers:
+            if not caller.open_calls and now - caller.idle_since > IDLE_NS:
+                self._close(caller)
+        self.undelivered = [u for u in self.undelivered if u.until > now]
+        self._resume()
+        self.loop.deadlines.at(now + SWEEP_NS, self._sweep)
+
+    def gone(self, caller: Caller) -> None:
+        if self.callers.remove(caller.handle) is None:
+            return
+        for call in caller.open_calls:
+            self.dialogs.pop(call, None)
+            self.core.caller_gone(call)
+        caller.open_calls = set()
+        self._resume()
+
+    # --- From callers -----------------------------------------------------------------------------------
+
+    def malformed(self, caller: Caller, found: sip.Malformed) -> None:
+        logger.debug("malformed message from a caller: {}", found.why)
+        message = found.message
+        known = message.call_id in self.dialogs  # its set-up has its own answer to come
+        if (
+            message.method
+            and message.method != "ACK"
+            and message.call_id
+            and message.cseq_method
+            and not known
+        ):
+            caller.stream.send(sip.response(found.status, message))
+        elif not found.fatal:
+            caller.parser.broken = True  # nobody to answer: the connection is dropped
+
+    def message(self, caller: Caller, message: sip.SipMessage) -> None:
+        if message.status or message.method in ("ACK", "NOTIFY"):
+            return  # free: nothing hangs on it
+        if not message.call_id or not message.cseq_method:
+            self.malformed(caller, sip.Malformed(400, "no Call-ID or CSeq", message, False))
+        elif message.method == "INVITE":
+            self._invite(caller, message)
+        elif message.method == "CANCEL":
+            self._cancel(caller, message)
+        elif message.method == "BYE":
+            known = self.core.caller_released(message.call_id) or message.call_id in self.core.ended
+            self.dialogs.pop(message.call_id, None)
+            for other in self.callers:
+                other.open_calls.discard(message.call_id)
+            caller.stream.send(sip.response(200 if known else 481, message))
+        elif message.method == "OPTIONS":
+            caller.stream.send(sip.response(200 if self.core.listed else 503, message))
+        else:
+            caller.stream.send(sip.response(405, message))
+
+    def _invite(self, caller: Caller, message: sip.SipMessage) -> None:
+        try:
+            offer = read_invite(message, self.loop.now)
+        except ValueError as wrong:
+            self.malformed(caller, sip.Malformed(400, str(wrong), message, False))
+            return
+        if not self.core.offer(self, caller.handle, offer):
+            return  # sent again: the first one's answer is the only one
+        message.body = b""
+        self.dialogs[offer.call] = Dialog(message)
+        caller.open_calls.add(offer.call)
+
+    def _cancel(self, caller: Caller, message: sip.SipMessage) -> None:
+        call = message.call_id
+        dialog = self.dialogs.get(call)
+        caller.stream.send(sip.response(200 if dialog is not None else 481, message))
+        if dialog is None:
+            return
+        if dialog.standing:
+            # Crossed with our answer: the caller has stopped waiting and won't use the call.
+            self.core.caller_released(call)
+            self.dialogs.pop(call, None)
+            return
+        request = self.core.find(call)
+        home = self.callers.get(request.line) if request is not None else None
+        self.core.caller_gone(call)
+        self._end(call, home, sip.response(487, dialog.invite))
+
+    # --- From the core ----------------------------------------------------------------------------------
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        call = request.offer.call
+        dialog = self.dialogs.get(call)
+        caller = self.callers.get(request.line)
+        if dialog is None:
+            return
+        if answer.kind == STANDS:
+            dialog.standing = True
+            data = sip.response(
+                200, dialog.invite, (("Content-Type", "application/sdp"),), answer.description
+            )
+            if caller is not None:
+                caller.open_calls.discard(call)
+                caller.stream.send(data)
+            return
+        extra = [("X-Later-Ms", str(-(-answer.stay_away_ns // MS)))] if answer.stay_away_ns > 0 else []
+        self._end(call, caller, sip.response(STATUS[answer.kind], dialog.invite, extra))
+
+    def _end(self, call: str, caller: Caller | None, data: bytes) -> None:
+        self.dialogs.pop(call, None)
+        if caller is not None:
+            caller.open_calls.discard(call)
+            caller.idle_since = self.loop.now
+            caller.stream.send(data)
+
+    def release(self, request: Request, cause: int) -> None:
+        dialog = self.dialogs.pop(request.offer.call, None)
+        uri = dialog.invite.uri if dialog is not None else "sip:peer@net"
+        self._bye(request.offer.call, uri, cause, self.callers.get(request.line))
+
+    def release_unknown(self, call: str, cause: int) -> None:
+        self._bye(call, "sip:peer@net", cause, None)
+
+    def _bye(self, call: str, uri: str, cause: int, caller: Caller | None) -> None:
+        """No connection owns a call that stands: any will do, and else the next that opens."""
+        data = sip.request("BYE", uri, self.address, call, 1, (("Reason", f"Q.850;cause={cause}"),))
+        if caller is None:
+            caller = next(iter(self.callers), None)
+        if caller is not None:
+            caller.stream.send(data)
+        else:
+            self.undelivered.append(Undelivered(data, self.loop.now + RELEASE_KEPT_NS))
+
+
+STATUS = {REFUSED: 503, FAILED: 500}
+
+
+def read_invite(message: sip.SipMessage, now: int) -> Offer:
+    """The request that a set-up asks for; ``ValueError`` names the field that is missing or wrong."""
+    headers = message.headers
+    for name in ("subject", "x-patience", "x-facts"):
+        if name not in headers:
+            raise ValueError(f"no {name}")
+    number = message.uri.removeprefix("sip:").partition("@")[0]
+    facts = dict(part.split(":", 1) for part in headers["x-facts"].split(";") if ":" in part)
+    patience, call = int(headers["x-patience"]), message.call_id
+    if "dest" not in facts:
+        raise ValueError("no dest among the facts")
+    width = int(facts.get("width", 1))
+    if not 0 <= patience <= 86_400_000 or not 1 <= width <= 1024:
+        raise ValueError("a figure out of range")
+    if len(call) != 16 or f"{int(call, 16):016x}" != call.lower():
+        raise ValueError("Call-ID is not 16 hex digits")
+    return Offer(
+        call, headers["subject"], number, int(number, 16), int(facts["dest"]), width, now + patience * MS,
+        message.body, facts.get("transit") == "1", "x-retry" in headers, facts.get("again") == "1",
+        int(facts.get("via", -1)),
+    )  # fmt: skip
--- /dev/null
+++ b/arrowrail/wire/stream.py
@@ -0,0 +1,171 @@
+"""A non-blocking TCP connection: bounded buffers, and messages that can still be taken back."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from functools import partial
+from typing import Protocol
+
+from loguru import logger
+
+from arrowrail.run.loop import READ, WRITE, Loop
+
+READ_SIZE = 64 * 1024
+OUT_LIMIT = 256 * 1024  # a peer that lets this much pile up is not reading: it is cut off
+# Little is handed to the kernel ahead of what the peer has room for: what it holds can't be taken back.
+NOTSENT_LOWAT = 4096
+TCP_NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
+
+
+class Owner(Protocol):
+    def connected(self) -> None: ...
+    def received(self, data: bytes) -> None: ...
+    def lost(self, why: OSError | None) -> None:
+        """The connection has ended by itself; ``None`` where the peer closed it in good order."""
+
+
+class Unsent:
+    __slots__ = ("data", "offset", "tag")
+
+    def __init__(self, data: bytes, tag: object) -> None:
+        self.data, self.tag, self.offset = data, tag, 0
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def connect(loop: Loop, owner: Owner, address: str) -> Stream:
+    """Begin to connect; an address that can't be tried is reported from the loop, like a refusal."""
+    host, port = parse_address(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    stream = Stream(loop, sock, owner, True)
+    number = sock.connect_ex((host, port))
+    if number not in (0, errno.EINPROGRESS):
+        loop.deadlines.at(loop.now, lambda: stream.fail(OSError(number, "connect")))
+    return stream
+
+
+class Stream:
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False) -> None:
+        self.loop, self.sock, self.owner = loop, sock, owner
+        self.connecting = connecting
+        self.open = True
+        self._out: deque[Unsent] = deque()
+        self._size = 0
+        self._mask = 0
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, NOTSENT_LOWAT)
+        self._watch()
+
+    def send(self, data: bytes, tag: object = None) -> None:
+        """Queue a whole message and write what the peer has room for; ``tag`` names it for ``withdraw``."""
+        if not self.open:
+            return
+        self._out.append(Unsent(data, tag))
+        self._size += len(data)
+        if self._size > OUT_LIMIT:
+            # From the loop, so that no sender finds its own connection gone in the middle of a turn.
+            self.loop.deadlines.at(
+                self.loop.now, lambda: self.fail(OSError(errno.ENOBUFS, "peer reads nothing"))
+            )
+        elif not self.connecting and len(self._out) == 1:
+            self._flush()
+
+    def unsent(self, tag: object) -> bool:
+        """Whether not one byte of the message has been written."""
+        return any(item.tag == tag and item.offset == 0 for item in self._out)
+
+    def withdraw(self, tag: object) -> bool:
+        """Take a message back that is still queued whole; half a message has to be finished."""
+        for item in self._out:
+            if item.tag == tag and item.offset == 0:
+                self._out.remove(item)
+                self._size -= len(item.data)
+                return True
+        return False
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.loop.unwatch(self.sock)
+            self.sock.close()
+            self._out.clear()
+
+    def finish(self) -> None:
+        """Write what can still be written, then close: for a last word to a peer that broke the protocol."""
+        if self.open and not self.connecting:
+            self._flush()
+        self.close()
+
+    def fail(self, why: OSError | None) -> None:
+        """End it and tell the owner, once.  The queue stays, so that the owner can ask what never left."""
+        if self.open:
+            self.open = False
+            self.loop.unwatch(self.sock)
+            self.sock.close()
+            self.owner.lost(why)
+            self._out.clear()
+
+    def _watch(self) -> None:
+        mask = WRITE if self.connecting else READ | (WRITE if self._out else 0)
+        if mask != self._mask:
+            self._mask = mask
+            self.loop.watch(self.sock, mask, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        try:
+            if self.connecting:
+                number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if number:
+                    self.fail(OSError(number, "connect"))
+                    return
+                self.connecting = False
+                self.owner.connected()
+                self._flush()
+                return
+            if mask & READ:
+                self._read()
+            if mask & WRITE and self.open:
+                self._flush()
+        except Exception:
+            # Guards against a fault in the handling of one connection ending all others.
+            logger.exception("a connection's handler failed")
+            self.fail(OSError(errno.EPROTO, "handler failed"))
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError as why:
+            self.fail(why)
+            return
+        if data:
+            self.owner.received(data)
+        else:
+            self.fail(None)
+
+    def _flush(self) -> None:
+        try:
+            while self._out and self.open:
+                item = self._out[0]
+                item.offset += self.sock.send(memoryview(item.data)[item.offset :])
+                if item.offset < len(item.data):
+                    break
+                self._out.popleft()
+                self._size -= len(item.data)
+        except BlockingIOError:
+            pass
+        except OSError as why:
+            # The read side tells the rest: what the peer said before it broke off is still worth hearing.
+            logger.debug("write failed: {}", why)
+            self.loop.deadlines.at(self.loop.now, partial(self.fail, why))
+            return
+        if self.open:
+            self._watch()
