Write the M3UA-style front and back, the etcd source and the configuration tool

Codecs (RFC 4666, Q.763), associations, front and back on the same core; the list in etcd by range and watch; the operator's file with one model for the tool and the start.

--- /dev/null
+++ b/arrowrail/config/model.py
@@ -0,0 +1,199 @@
+"""The operator's file: every key, its default, and what is allowed.
+
+The same model checks the file for the tool and at the program's start, so the two can't disagree.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from arrowrail.wire.isup import DIGITS
+from arrowrail.wire.stream import parse_address
+
+
+def _address(text: str) -> str:
+    try:
+        host, port = parse_address(text)
+    except ValueError:
+        port, host = -1, ""
+    if not host or not 0 <= port <= 65535:
+        raise ValueError("no address and port")
+    return text
+
+
+def _digits(text: str) -> str:
+    if any(d not in DIGITS for d in text):
+        raise ValueError("not made of digits")
+    return text
+
+
+Address = Annotated[str, AfterValidator(_address)]
+Byte = Annotated[int, Field(ge=0, le=255)]
+# 24 bits hold the point codes of every national variant
+PointCode = Annotated[int, Field(ge=0, le=0xFFFFFF)]
+Name = Annotated[str, Field(min_length=1, max_length=64)]
+
+
+class Table(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class ClassTable(Table):
+    name: Name = Field(description="a class of the settings, 1 to 64 characters")
+    deadline_ms: int = Field(ge=1, le=600_000, description="1 to 600000")
+    category: Byte | None = Field(None, description="0 to 255, or absent for any")
+    requirement: Byte | None = Field(None, description="0 to 255, or absent for any")
+
+
+class NumberTable(Table):
+    prefix: Annotated[str, AfterValidator(_digits)] = Field(
+        description="digits 0-9, A-E; empty for all numbers"
+    )
+    exchange: int = Field(ge=0, le=65535, description="0 to 65535, an exchange of the list")
+
+
+class DeskTable(Table):
+    uid: Name = Field(description="1 to 64 characters, its own")
+    address: Address = Field(description='"address:port"')
+    point_code: PointCode = Field(description="0 to 16777215")
+    exchange: int = Field(ge=0, le=65535, description="0 to 65535")
+    zone: str = Field("", description="a text")
+    circuits: int = Field(0, ge=0, le=4095, description="1 to 4095, or 0 for the common figure")
+
+
+class M3uaTable(Table):
+    enabled: bool = Field(False, description="true or false")
+    listen: Address = Field("127.0.0.1:2905", description='"address:port" where clients connect')
+    point_code: PointCode = Field(1, description="0 to 16777215")
+    routing_context: int | None = Field(None, ge=0, le=0xFFFFFFFF, description="0 to 4294967295, or absent")
+    network_appearance: int | None = Field(
+        None, ge=0, le=0xFFFFFFFF, description="0 to 4294967295, or absent"
+    )
+    heartbeat_ms: int = Field(5000, ge=100, le=60_000, description="100 to 60000")
+    circuits: int = Field(120, ge=1, le=4095, description="1 to 4095")
+    classes: tuple[ClassTable, ...] = Field((), description="tables [[m3ua.classes]]")
+    numbers: tuple[NumberTable, ...] = Field((), description="tables [[m3ua.numbers]]")
+    desks: tuple[DeskTable, ...] = Field((), description="tables [[m3ua.desks]]")
+
+
+class EtcdTable(Table):
+    enabled: bool = Field(False, description="true or false")
+    address: Address = Field("127.0.0.1:2379", description='"address:port" of the JSON gateway')
+    prefix: str = Field("/arrowrail/desks/", min_length=1, description="a key prefix, not empty")
+
+
+class LogTable(Table):
+    level: str = Field(
+        "INFO",
+        pattern="^(TRACE|DEBUG|INFO|WARNING|ERROR)$",
+        description="TRACE, DEBUG, INFO, WARNING or ERROR",
+    )
+
+
+class Operator(Table):
+    application: Name = Field(description="the application's name, 1 to 64 characters")
+    log: LogTable = Field(LogTable(), description="a table [log]")
+    m3ua: M3uaTable = Field(M3uaTable(), description="a table [m3ua]")
+    etcd: EtcdTable = Field(EtcdTable(), description="a table [etcd]")
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    file: str
+    key: str
+    wrong: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: {self.wrong}; allowed: {self.allowed}"
+
+
+def read(path: Path) -> tuple[Operator | None, list[Fault]]:
+    """The file's content, or every fault in it."""
+    name = str(path)
+    try:
+        # Lists become tuples: the values are read once and never changed.
+        raw = _frozen(tomllib.loads(path.read_text(encoding="utf-8")))
+    except OSError as wrong:
+        return None, [Fault(name, "-", f"can't be read ({wrong.strerror})", "a readable TOML file")]
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
+        return None, [Fault(name, "-", f"no TOML: {wrong}", "TOML 1.0 in UTF-8")]
+    try:
+        operator = Operator.model_validate(raw)
+    except ValidationError as wrong:
+        faults = [_fault(name, e["loc"], e["type"], e["msg"], e.get("input")) for e in wrong.errors()]
+        return None, faults
+    faults = list(_across(name, operator))
+    return (None, faults) if faults else (operator, [])
+
+
+def _frozen(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _frozen(v) for key, v in value.items()}
+    return tuple(_frozen(v) for v in value) if isinstance(value, list) else value
+
+
+def _fault(file: str, place: tuple[int | str, ...], kind: str, text: str, given: Any) -> Fault:
+    key = "".join(f"[{p}]" if isinstance(p, int) else f".{p}" for p in place).lstrip(".")
+    table, allowed = _allowed(place)
+    if kind == "missing":
+        return Fault(file, key, "missing", allowed)
+    if kind == "extra_forbidden":
+        return Fault(file, key, "unknown key", ", ".join(table.model_fields) if table else "no such key")
+    shown = repr(given) if isinstance(given, str | int | float | bool) else type(given).__name__
+    return Fault(file, key, f"{shown}: {text[0].lower()}{text[1:]}", allowed)
+
+
+def _allowed(place: tuple[int | str, ...]) -> tuple[type[Table] | None, str]:
+    """The table that a key stands in, and what its field says is allowed."""
+    table: type[Table] | None = Operator
+    said = "see the written file"
+    tables: dict[str, type[Table]] = {
+        "log": LogTable, "m3ua": M3uaTable, "etcd": EtcdTable, "classes": ClassTable, "numbers": NumberTable,
+        "desks": DeskTable,
+    }  # fmt: skip
+    for step in place:
+        if isinstance(step, int) or table is None:
+            continue
+        field = table.model_fields.get(step)
+        if field is None:
+            return table, said
+        said = field.description or said
+        if step in tables:
+            table = tables[step]
+    return table, said
+
+
+def _across(file: str, operator: Operator) -> Iterable[Fault]:
+    """What no single key shows: things that are named twice, or missing once a part is turned on."""
+    m = operator.m3ua
+    for key, values in (
+        ("m3ua.desks.uid", [d.uid for d in m.desks]),
+        ("m3ua.desks.address", [d.address for d in m.desks]),
+        ("m3ua.numbers.prefix", [n.prefix for n in m.numbers]),
+    ):
+        for twice in sorted({v for v in values if values.count(v) > 1}):
+            yield Fault(file, key, f"{twice!r} stands twice", "each once")
+    for at, desk in enumerate(m.desks):
+        if desk.point_code == m.point_code:
+            yield Fault(file, f"m3ua.desks[{at}].point_code", "is the controller's own", "another point code")
+    if m.enabled:
+        for key, there in (("classes", m.classes), ("numbers", m.numbers)):
+            if not there:
+                yield Fault(file, f"m3ua.{key}", "none, with m3ua.enabled", f"at least one [[m3ua.{key}]]")
+
+
+def check_against(file: str, operator: Operator, class_names: Iterable[str]) -> list[Fault]:
+    """The faults that only the platform's settings show."""
+    names = tuple(class_names)
+    return [
+        Fault(file, f"m3ua.classes[{at}].name", f"{c.name!r} is no class of the settings", ", ".join(names))
+        for at, c in enumerate(operator.m3ua.classes)
+        if c.name not in names
+    ]
--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -211,12 +211,12 @@
         else:
             self._attempt_over(request, attempt, ended.outcome, ended.cause, False)
 
-    def attempt_failed(self, desk: Desk, call: str, outcome: str) -> None:
+    def attempt_failed(self, desk: Desk, call: str, outcome: str, cause: int = 0) -> None:
         """The back lost the attempt: never sent, or its connection broke before the answer."""
         request = self.find(call)
         attempt = request.out if request is not None and not request.stands else None
         if request is not None and attempt is not None and attempt.desk is desk:
-            self._attempt_over(request, attempt, outcome, 0, False)
+            self._attempt_over(request, attempt, outcome, cause, False)
 
     def desk_gone(self, desk: Desk) -> None:
         """Nothing runs there any more: what stood is cut, what was out is lost."""
@@ -237,7 +237,8 @@
 
     def list_news(self, source: str, whole: bool, lines: Iterable[Told]) -> None:
         """News of the exchange list, whichever source tells it."""
-        changed = self.directory.apply(self.now, source, whole, lines)
+        usable = [told for told in lines if told.back in self.backs]
+        changed = self.directory.apply(self.now, source, whole, usable)
         if not changed:
             return
         entries = tuple(
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
@@ -15,23 +18,31 @@
 from arrowrail.wire.desk_back import DeskBack
 from arrowrail.wire.sip_front import SipFront
 
+if TYPE_CHECKING:
+    from arrowrail.config.model import Operator
+
 # After SIGTERM connections come for up to 0.4 s more, and requests on them for 0.2 s after that.
 STILL_COMING_NS = 700 * MS
 
 
 class Program:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, operator: Operator | None = None) -> None:
         self.loop = Loop()
         self.core = Core(config.settings, config.seed, self.loop.deadlines)
         DeskBack(self.loop, self.core, config.connect_timeout_ns)
         self.front = SipFront(self.loop, self.core, config.listen, config.sockets)
-        self.bus = BusClient(self.loop, self.core, config.bus)
-        self.config = config
+        self.bus = BusClient(self.loop, self.core, config.bus) if config.bus else None
+        self.config, self.operator = config, operator
         self.stopping_at = 0  # when nothing new can come any more; 0: not told to stop
 
     def start(self) -> None:
-        on_signal(self.loop, self.stop)
-        self.bus.start(list(self.config.known), self.config.offset)
+        if self.bus is not None:
+            self.bus.start(list(self.config.known), self.config.offset)
+        if self.operator is not None:
+            # Imported only where a file asks for it: the platform's controllers pay nothing for it.
+            from arrowrail.run.extras import start_extras
+
+            start_extras(self.loop, self.core, self.config, self.operator)
         self.core.turn()
         self.front.start()
         logger.info("{} serves on {}", self.config.name, self.config.listen)
@@ -51,19 +62,47 @@
         return bool(self.stopping_at) and self.loop.now >= self.stopping_at and not self.core.unanswered
 
     def run(self) -> None:
+        on_signal(self.loop, self.stop)
         self.start()
         while not self.done():
             self.turn()
         logger.info("stopped; {} checks fired", self.core.defects)
 
 
-def main() -> int:
+def log_to(level: str) -> None:
     logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("ARROWRAIL_LOG", "INFO"), backtrace=False, diagnose=False)
+    logger.add(sys.stderr, level=level, backtrace=False, diagnose=False)
+
+
+def read_operator(path: Path, config: Config) -> Operator | None:
+    """The operator's file under the tool's own check; every fault is logged."""
+    from arrowrail.config.model import check_against, read
+
+    operator, faults = read(path)
+    if operator is not None:
+        faults = check_against(str(path), operator, (c.name for c in config.settings.classes))
+    for fault in faults:
+        logger.error("{}", fault)
+    return None if faults else operator
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m arrowrail", description="One call controller.")
+    parser.add_argument(
+        "--config", type=Path, help="the operator's file; absent: only what the platform says"
+    )
+    path: Path | None = parser.parse_args().config
+    log_to(os.environ.get("ARROWRAIL_LOG", "INFO"))
     try:
         config = from_environment()
     except (KeyError, OSError, ValueError) as wrong:
         logger.error("configuration: {}", wrong)
         return 1
-    Program(config).run()
+    operator = None
+    if path is not None:
+        operator = read_operator(path, config)
+        if operator is None:
+            return 1
+        log_to(operator.log.level)
+    Program(config, operator).run()
     return 0
--- a/arrowrail/state/directory.py
+++ b/arrowrail/state/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 IN_SERVICE, TERMINATING, TERMINATED = "in_service", "terminating", "terminated"
 STATES = (IN_SERVICE, TERMINATING, TERMINATED)
@@ -22,6 +22,7 @@
     since_ns: int  # Unix time of a late start; 0: long ago
     back: str = "binary"  # which back speaks to it
     point_code: int = 0  # of an exchange that signals in the M3UA style
+    circuits: int = 0  # of the group toward it, where it does; 0: as configured for all
 
 
 @dataclass(slots=True)
@@ -62,9 +63,7 @@
             for desk in list(self.desks.values()):
                 known = desk.told
                 if desk.source == source and known.uid not in named and known.state != TERMINATED:
-                    gone = Told(known.uid, known.endpoint, known.zone, known.exchange, TERMINATED,
-                                known.since_ns, known.back, known.point_code)  # fmt: skip
-                    self._take(now, source, gone)
+                    self._take(now, source, replace(known, state=TERMINATED))
                     changed[desk.office] = desk
         self._forget()
         return list(changed.values())
@@ -79,6 +78,8 @@
             self._offices[told.uid], self.desks[desk.office] = desk.office, desk
         else:
             desk = self.desks[office]
+            if told.state == TERMINATED:  # a deletion may name nothing but the uid
+                told = replace(desk.told, state=TERMINATED)
             if desk.told == told:
                 return None
             desk.told = told
--- a/arrowrail/wire/bus.py
+++ b/arrowrail/wire/bus.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import httptools
 import orjson
 
 from arrowrail.state.directory import STATES, Told
+from arrowrail.wire.http import BodyParser, HttpError
 
 MAX_EVENT = 1024 * 1024  # a whole list of a large network is far below it
 
@@ -54,30 +54,18 @@
     """The HTTP answer of the bus, chunked or not, down to its events."""
 
     def __init__(self) -> None:
-        self._http = httptools.HttpResponseParser(self)
+        self._http = BodyParser()
         self._sse = SseParser()
-        self._found: list[BusEvent] = []
-        self.complete = False
 
-    def on_headers_complete(self) -> None:
-        if self._http.get_status_code() != 200:
-            raise BusError(f"status {self._http.get_status_code()}")
-
-    def on_body(self, body: bytes) -> None:
-        self._found += [read_event(text) for text in self._sse.feed(body)]
-
-    def on_message_complete(self) -> None:
-        self.complete = True
+    @property
+    def complete(self) -> bool:
+        return self._http.complete
 
     def feed(self, data: bytes) -> list[BusEvent]:
         try:
-            self._http.feed_data(data)
-        except httptools.HttpParserCallbackError as wrong:
-            raise BusError(str(wrong.__context__ or wrong)) from wrong
-        except httptools.HttpParserError as wrong:
+            return [read_event(text) for text in self._sse.feed(self._http.feed(data))]
+        except HttpError as wrong:
             raise BusError(str(wrong)) from wrong
-        found, self._found = self._found, []
-        return found
 
 
 def get(host: str, last: int) -> bytes:
@@ -111,5 +99,5 @@
     return Told(
         str(line["uid"]), str(line["endpoint"]), str(line.get("az", "")), int(line.get("pod_group", -1)),
         state, int(line.get("boot_ms") or 0) * 1_000_000, str(line.get("signalling", "binary")),
-        int(line.get("point_code") or 0),
+        int(line.get("point_code") or 0), int(line.get("circuits") or 0),
     )  # fmt: skip
--- a/arrowrail/wire/desk_back.py
+++ b/arrowrail/wire/desk_back.py
@@ -10,15 +10,12 @@
 
 from arrowrail.core import MS, Core, Ended, Offer
 from arrowrail.run.loop import Loop
-from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
 from arrowrail.wire import binary
 from arrowrail.wire.binary import DeskMessage
+from arrowrail.wire.reconnect import Reconnect
 from arrowrail.wire.stream import Stream, connect
 
-FIRST_PAUSE_NS, LONGEST_PAUSE_NS = 50 * MS, 1_000 * MS
-GONE_AFTER_NS = 2_000 * MS  # refused for so long since its connection broke: its process has died
-
 # Release causes of an unanswered set-up, as outcomes of the module.
 OUTCOMES = {34: "turned_away", 17: "server_error", 47: "server_error", 102: "not_sent", 41: "connection_lost"}
 NOTES = {"group_full": 1, "tandem_refused": 2, "processor_full": 3, "user_busy": 4, "destination_full": 18}
@@ -42,33 +39,26 @@
     stream: Stream | None = None
     parser: binary.BinaryParser = field(default_factory=binary.BinaryParser)
     waiting: dict[str, None] = field(default_factory=dict)  # unanswered set-ups, queued or sent
-    pause_ns: int = FIRST_PAUSE_NS
-    again: Deadline | None = None
-    timeout: Deadline | None = None
-    broken_since: int = 0  # the connection is gone since then, and every new one was refused
+    retry: Reconnect = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.retry = Reconnect(self.back.loop, self.open)
 
     def open(self) -> None:
-        if self.stream is not None:
+        if self.stream is not None or self.desk.told.state == TERMINATED:
             return
-        if self.again is not None:
-            self.again.cancel()
-            self.again = None
+        self.retry.cancel()
         self.parser = binary.BinaryParser()
         try:
-            self.stream = stream = connect(self.back.loop, self, self.desk.told.endpoint)
+            self.stream = connect(self.back.loop, self, self.desk.told.endpoint)
         except OSError as why:  # no descriptor left
             logger.warning("no connection to {}: {}", self.desk.told.uid, why)
             self.back.loop.deadlines.at(self.back.loop.now, partial(self.lost, why))
             return
-        late = OSError(errno.ETIMEDOUT, "connect")
-        self.timeout = self.back.loop.deadlines.at(
-            self.back.loop.now + self.back.connect_timeout_ns,
-            lambda: stream.fail(late) if stream.connecting else None,
-        )
+        self.retry.within(self.back.connect_timeout_ns, self.stream)
 
     def connected(self) -> None:
-        self.pause_ns = FIRST_PAUSE_NS
-        self.broken_since = 0
+        self.retry.succeeded()
 
     def received(self, data: bytes) -> None:
         try:
@@ -81,28 +71,15 @@
 
     def lost(self, why: OSError | None) -> None:
         stream, self.stream = self.stream, None
-        if self.timeout is not None:
-            self.timeout.cancel()
         waiting, self.waiting = list(self.waiting), {}
         for call in waiting:
             never_left = stream is None or stream.connecting or stream.unsent(call)
             self.back.core.attempt_failed(
                 self.desk, call, "no_connection" if never_left else "connection_lost"
             )
-        now = self.back.loop.now
-        self.broken_since = self.broken_since or now
-        if self.desk.told.state == TERMINATED:
-            return
-        if why is not None and why.errno == errno.ECONNREFUSED and now - self.broken_since > GONE_AFTER_NS:
-            # Guards against callers left standing on a process that died before the list says so.
+        refused = why is not None and why.errno == errno.ECONNREFUSED
+        if self.desk.told.state != TERMINATED and self.retry.failed(refused):
             self.back.core.desk_gone(self.desk)
-        self.again = self.back.loop.deadlines.at(now + self.pause_ns, self._again)
-        self.pause_ns = min(2 * self.pause_ns, LONGEST_PAUSE_NS)
-
-    def _again(self) -> None:
-        self.again = None
-        if self.desk.told.state != TERMINATED:
-            self.open()
 
     def send(self, message: DeskMessage, tag: str | None = None) -> None:
         self.open()
@@ -110,9 +87,7 @@
             self.stream.send(binary.encode(message), tag)
 
     def close(self) -> None:
-        for deadline in (self.again, self.timeout):
-            if deadline is not None:
-                deadline.cancel()
+        self.retry.cancel()
         stream, self.stream = self.stream, None
         if stream is not None:
             stream.close()
--- /dev/null
+++ b/arrowrail/wire/etcd_client.py
@@ -0,0 +1,92 @@
+"""Follows the exchange list in etcd: a range, then a watch from the next revision."""
+
+from __future__ import annotations
+
+import errno
+from functools import partial
+
+from loguru import logger
+
+from arrowrail.core import MS, Core
+from arrowrail.run.loop import Loop
+from arrowrail.state.deadlines import Deadline
+from arrowrail.wire import etcd
+from arrowrail.wire.http import BodyParser, HttpError
+from arrowrail.wire.reconnect import FIRST_PAUSE_NS, LONGEST_PAUSE_NS
+from arrowrail.wire.stream import Stream, connect
+
+RANGE_NS = 5_000 * MS  # how long the range may take
+SILENCE_NS = 60_000 * MS  # a watch says nothing while nothing changes: after so long the list is read anew
+SOURCE = "etcd"
+
+
+class EtcdClient:
+    """Each connection begins with a range, so that no gap, compaction or cancelled watch loses a change."""
+
+    def __init__(self, loop: Loop, core: Core, address: str, prefix: str) -> None:
+        self.loop, self.core, self.address, self.prefix = loop, core, address, prefix
+        self.pause_ns = FIRST_PAUSE_NS
+        self.stream: Stream | None = None
+        self._http = BodyParser()
+        self._body = bytearray()
+        self._watch: etcd.WatchParser | None = None
+        self._quiet: Deadline | None = None
+
+    def start(self) -> None:
+        self._http, self._body, self._watch = BodyParser(), bytearray(), None
+        try:
+            self.stream = connect(self.loop, self, self.address)
+        except OSError as why:  # no descriptor left
+            self.loop.deadlines.at(self.loop.now, partial(self.lost, why))
+            return
+        self.stream.send(etcd.range_request(self.address, self.prefix))
+        self._expect(RANGE_NS)
+
+    def connected(self) -> None:
+        pass  # the range is queued already
+
+    def received(self, data: bytes) -> None:
+        try:
+            body = self._http.feed(data)
+            if self._watch is None:
+                self._range(body)
+            else:
+                self._expect(SILENCE_NS)
+                for news in self._watch.feed(body):
+                    self.core.list_news(SOURCE, False, news.lines)
+        except (HttpError, etcd.EtcdError) as wrong:
+            logger.warning("etcd: {}", wrong)
+            self._cut(OSError(errno.EPROTO, str(wrong)))
+            return
+        if self._http.complete:
+            self._cut(None)
+
+    def _range(self, body: bytes) -> None:
+        self._body += body
+        if len(self._body) > etcd.MAX_LINE:
+            raise etcd.EtcdError("a list over the limit")
+        if not self._http.complete or self.stream is None:
+            return
+        news = etcd.read_range(bytes(self._body))
+        self.core.list_news(SOURCE, True, news.lines)
+        self.pause_ns = FIRST_PAUSE_NS
+        self._http, self._watch = BodyParser(), etcd.WatchParser(self.prefix)
+        self.stream.send(etcd.watch_request(self.address, self.prefix, news.revision + 1))
+        self._expect(SILENCE_NS)
+
+    def _expect(self, within_ns: int) -> None:
+        if self._quiet is not None:
+            self._quiet.cancel()
+        late = OSError(errno.ETIMEDOUT, "silent")
+        self._quiet = self.loop.deadlines.at(self.loop.now + within_ns, lambda: self._cut(late))
+
+    def _cut(self, why: OSError | None) -> None:
+        if self.stream is not None:
+            self.stream.fail(why)
+
+    def lost(self, _why: OSError | None) -> None:
+        self.stream = None
+        if self._quiet is not None:
+            self._quiet.cancel()
+        self.loop.deadlines.at(self.loop.now + self.pause_ns, self.start)
+        self.pause_ns = min(2 * self.pause_ns, LONGEST_PAUSE_NS)
--- /dev/null
+++ b/arrowrail/wire/m3ua.py
@@ -0,0 +1,188 @@
+"""M3UA (RFC 4666) messages over TCP: header, padded TLV parameters, protocol data.  Bytes only.
+
+TCP keeps no message boundaries, so the header's own length frames the stream (the RFC runs over SCTP).
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+VERSION = 1
+MAX_MESSAGE = 16 * 1024
+HEADER = struct.Struct(">BBBBI")
+TLV = struct.Struct(">HH")
+PROTOCOL_DATA_HEAD = struct.Struct(">IIBBBB")
+SI_ISUP = 5
+TRAFFIC_OVERRIDE, TRAFFIC_LOADSHARE, TRAFFIC_BROADCAST = 1, 2, 3
+
+
+class Kind(IntEnum):
+    """Message class and type in one number: class << 8 | type."""
+
+    ERR = 0x0000
+    NTFY = 0x0001
+    DATA = 0x0101
+    DUNA = 0x0201
+    DAVA = 0x0202
+    DAUD = 0x0203
+    SCON = 0x0204
+    DUPU = 0x0205
+    DRST = 0x0206
+    ASPUP = 0x0301
+    ASPDN = 0x0302
+    BEAT = 0x0303
+    ASPUP_ACK = 0x0304
+    ASPDN_ACK = 0x0305
+    BEAT_ACK = 0x0306
+    ASPAC = 0x0401
+    ASPIA = 0x0402
+    ASPAC_ACK = 0x0403
+    ASPIA_ACK = 0x0404
+
+
+class Tag(IntEnum):
+    INFO = 0x0004
+    ROUTING_CONTEXT = 0x0006
+    DIAGNOSTIC = 0x0007
+    HEARTBEAT = 0x0009
+    TRAFFIC_MODE = 0x000B
+    ERROR_CODE = 0x000C
+    STATUS = 0x000D
+    ASP_IDENTIFIER = 0x0011
+    NETWORK_APPEARANCE = 0x0200
+    PROTOCOL_DATA = 0x0210
+
+
+class Error(IntEnum):
+    """Error codes of RFC 4666, 3.8.1, that are sent here."""
+
+    INVALID_VERSION = 0x01
+    UNSUPPORTED_CLASS = 0x03
+    UNSUPPORTED_TYPE = 0x04
+    UNSUPPORTED_MODE = 0x05
+    UNEXPECTED_MESSAGE = 0x06
+    PROTOCOL_ERROR = 0x07
+    PARAMETER_FIELD = 0x12
+    INVALID_APPEARANCE = 0x15
+    MISSING_PARAMETER = 0x16
+    INVALID_CONTEXT = 0x19
+
+
+class M3uaError(Exception):
+    """A message that can't be taken; ``fatal`` where the stream can't be read on behind it."""
+
+    def __init__(self, code: Error, why: str, fatal: bool) -> None:
+        super().__init__(why)
+        self.code, self.fatal = code, fatal
+
+
+@dataclass(slots=True)
+class Message:
+    kind: Kind
+    parameters: dict[int, bytes] = field(default_factory=dict)  # the first of each tag
+
+    def number(self, tag: Tag) -> int | None:
+        value = self.parameters.get(tag)
+        return int.from_bytes(value[:4], "big") if value is not None and len(value) >= 4 else None
+
+
+@dataclass(frozen=True, slots=True)
+class ProtocolData:
+    """The MTP3 routing label, and the user part's own message."""
+
+    opc: int
+    dpc: int
+    user: bytes
+    service: int = SI_ISUP
+    network: int = 0
+    priority: int = 0
+    sls: int = 0
+
+
+class M3uaParser:
+    __slots__ = ("_buffer",)
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Message | M3uaError]:
+        """Whole messages so far, and in their places what could not be taken; a fatal one is the last."""
+        self._buffer += data
+        found: list[Message | M3uaError] = []
+        while len(self._buffer) >= HEADER.size:
+            version, _, group, kind, length = HEADER.unpack_from(self._buffer)
+            if version != VERSION:
+                found.append(M3uaError(Error.INVALID_VERSION, f"version {version}", True))
+                break
+            if length < HEADER.size or length > MAX_MESSAGE or length % 4:
+                found.append(M3uaError(Error.PROTOCOL_ERROR, f"length {length}", True))
+                break
+            if len(self._buffer) < length:
+                break
+            frame = bytes(self._buffer[:length])
+            del self._buffer[:length]
+            found.append(_read(group, kind, frame))
+        return found
+
+
+def _read(group: int, kind: int, frame: bytes) -> Message | M3uaError:
+    try:
+        message = Message(Kind(group << 8 | kind))
+    except ValueError:
+        known = any(k >> 8 == group for k in Kind)
+        code = Error.UNSUPPORTED_TYPE if known else Error.UNSUPPORTED_CLASS
+        return M3uaError(code, f"class {group} type {kind}", False)
+    at = HEADER.size
+    while at < len(frame):
+        if at + TLV.size > len(frame):
+            return M3uaError(Error.PARAMETER_FIELD, "half a parameter", False)
+        tag, length = TLV.unpack_from(frame, at)
+        if length < TLV.size or at + length > len(frame):
+            return M3uaError(Error.PARAMETER_FIELD, f"parameter {tag:#x} runs past the end", False)
+        message.parameters.setdefault(tag, frame[at + TLV.size : at + length])
+        at += -(-length // 4) * 4  # padding is not counted in the parameter's length
+    return message
+
+
+def encode(message: Message) -> bytes:
+    body = b"".join(
+        TLV.pack(tag, TLV.size + len(value)) + value + bytes(-len(value) % 4)
+        for tag, value in message.parameters.items()
+    )
+    return HEADER.pack(VERSION, 0, message.kind >> 8, message.kind & 0xFF, HEADER.size + len(body)) + body
+
+
+def number(value: int) -> bytes:
+    return value.to_bytes(4, "big")
+
+
+def error(code: Error, text: str = "") -> bytes:
+    parameters = {int(Tag.ERROR_CODE): number(code)}
+    if text:
+        parameters[Tag.DIAGNOSTIC] = text.encode()[:128]
+    return encode(Message(Kind.ERR, parameters))
+
+
+def data(label: ProtocolData, context: int | None = None, appearance: int | None = None) -> bytes:
+    parameters: dict[int, bytes] = {}
+    if appearance is not None:
+        parameters[Tag.NETWORK_APPEARANCE] = number(appearance)
+    if context is not None:
+        parameters[Tag.ROUTING_CONTEXT] = number(context)
+    head = PROTOCOL_DATA_HEAD.pack(
+        label.opc, label.dpc, label.service, label.network, label.priority, label.sls
+    )
+    parameters[Tag.PROTOCOL_DATA] = head + label.user
+    return encode(Message(Kind.DATA, parameters))
+
+
+def read_data(message: Message) -> ProtocolData:
+    value = message.parameters.get(Tag.PROTOCOL_DATA)
+    if value is None:
+        raise M3uaError(Error.MISSING_PARAMETER, "no protocol data", False)
+    if len(value) < PROTOCOL_DATA_HEAD.size:
+        raise M3uaError(Error.PARAMETER_FIELD, "protocol data without a label", False)
+    opc, dpc, service, network, priority, sls = PROTOCOL_DATA_HEAD.unpack_from(value)
+    return ProtocolData(opc, dpc, value[PROTOCOL_DATA_HEAD.size :], service, network, priority, sls)
--- /dev/null
+++ b/arrowrail/wire/m3ua_front.py
@@ -0,0 +1,181 @@
+"""The M3UA-style front: clients that signal ISUP calls by point codes and CIC."""
+
+from __future__ import annotations
+
+import os
+import socket
+from dataclasses import dataclass
+
+from loguru import logger
+
+from arrowrail.core import MS, STANDS, Answer, Core, Offer, Request
+from arrowrail.run.loop import Loop
+from arrowrail.state.deadlines import Deadline
+from arrowrail.state.slots import SlotTable
+from arrowrail.wire import causes
+from arrowrail.wire.isup import UUI_MAX, Isup, IsupType
+from arrowrail.wire.listener import Listener
+from arrowrail.wire.m3ua import ProtocolData
+from arrowrail.wire.m3ua_link import ACTIVE, Association, M3uaSettings
+from arrowrail.wire.m3ua_rules import T1_NS, ClassRule, NumberRule
+from arrowrail.wire.stream import Stream
+
+RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for an association to go out on
+MAX_CLIENTS = 64
+UNALLOCATED, NOT_IMPLEMENTED, INTERWORKING = 1, 79, 127  # Q.850 causes of set-ups that can't be read
+Key = tuple[int, int]  # the client's point code and the CIC; the other point code is our own
+
+
+@dataclass(slots=True)
+class Circuit:
+    """A call on a client's circuit.  ``clearing``: our release is out, and its RLC is awaited."""
+
+    call: str
+    key: Key
+    line: int
+    standing: bool = False
+    clearing: bool = False
+    t1: Deadline | None = None
+
+
+class M3uaFront:
+    def __init__(
+        self, loop: Loop, core: Core, address: str, settings: M3uaSettings,
+        classes: tuple[ClassRule, ...], numbers: tuple[NumberRule, ...],
+    ) -> None:  # fmt: skip
+        self.loop, self.core, self.address, self.settings = loop, core, address, settings
+        self.classes = classes
+        self.numbers = sorted(numbers, key=lambda n: -len(n.prefix))  # the longest prefix wins
+        self.links: SlotTable[Association] = SlotTable()
+        self.circuits: dict[Key, Circuit] = {}
+        self.by_call: dict[str, Key] = {}
+        self.listener: Listener | None = None
+
+    def start(self) -> None:
+        self.core.fronts.append(self)
+        self.listener = Listener(
+            self.loop, self.address, self._accepted, lambda: len(self.links) < MAX_CLIENTS, lambda: False
+        )
+
+    # --- Associations -----------------------------------------------------------------------------------
+
+    def _accepted(self, sock: socket.socket) -> None:
+        link = Association(self.loop, self.settings, self, False)
+        link.handle = self.links.add(link)
+        link.stream = Stream(self.loop, sock, link)
+        link.connected()
+
+    def active(self, link: Association) -> None:
+        """Releases that found no association go out now; calls that stand belong to none."""
+        for circuit in list(self.circuits.values()):
+            home = self.links.get(circuit.line)
+            if circuit.clearing and (home is None or home.state != ACTIVE):
+                circuit.line = link.handle
+                self._release(circuit, causes.NORMAL)
+
+    def lost(self, link: Association, _why: OSError | None) -> None:
+        self.links.remove(link.handle)
+        for circuit in list(self.circuits.values()):
+            if circuit.line == link.handle and not circuit.standing and not circuit.clearing:
+                self.core.caller_gone(circuit.call)
+                self._drop(circuit)
+        if self.listener is not None:
+            self.listener.resume()
+
+    # --- From clients -----------------------------------------------------------------------------------
+
+    def isup(self, link: Association, label: ProtocolData, message: Isup) -> None:
+        key = (label.opc, message.cic)
+        circuit = self.circuits.get(key)
+        if message.kind == IsupType.IAM:
+            self._set_up(link, key, circuit, message)
+        elif message.kind == IsupType.REL:
+            link.send_isup(label.opc, Isup(message.cic, IsupType.RLC))
+            if circuit is not None:
+                if not circuit.clearing and not self.core.caller_released(circuit.call):
+                    self.core.caller_gone(circuit.call)
+                self._drop(circuit)
+        elif message.kind == IsupType.RLC and circuit is not None and circuit.clearing:
+            self._drop(circuit)
+
+    def _set_up(self, link: Association, key: Key, before: Circuit | None, m: Isup) -> None:
+        if before is not None and not before.clearing:
+            return  # sent again: the first one's answer is the only one
+        if before is not None:
+            self._drop(before)  # the client uses the circuit anew, so it has heard our release
+        exchange = next((n.exchange for n in self.numbers if m.called.startswith(n.prefix)), None)
+        rule = next(
+            (
+                c
+                for c in self.classes
+                if c.category in (None, m.category) and c.requirement in (None, m.requirement)
+            ),
+            None,
+        )
+        circuit = Circuit(os.urandom(8).hex(), key, link.handle)
+        self.circuits[key] = circuit
+        if exchange is None or rule is None or not m.called:
+            self._release(circuit, UNALLOCATED if exchange is None or not m.called else NOT_IMPLEMENTED)
+            return
+        self.by_call[circuit.call] = key
+        offer = Offer(
+            circuit.call, rule.class_name, m.called, int(m.called, 16), exchange, rule.width,
+            self.loop.now + rule.deadline_ns, m.uui,
+        )  # fmt: skip
+        self.core.offer(self, link.handle, offer)
+
+    # --- From the core ----------------------------------------------------------------------------------
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        circuit = self._circuit(request.offer.call)
+        if circuit is None:
+            return
+        link = self.links.get(circuit.line)
+        if answer.kind != STANDS:
+            level = 1 if answer.stay_away_ns > 0 else 0  # ISUP's word for "come back later"
+            self._release(circuit, causes.cause_of(answer), level)
+        elif len(answer.description) > UUI_MAX or link is None:
+            # It can't be passed on whole, and half a description is none: the call is cleared both ways.
+            logger.warning("an answer's description of {} bytes can't be passed on", len(answer.description))
+            self.core.caller_released(circuit.call)
+            self._release(circuit, INTERWORKING)
+        else:
+            circuit.standing = True
+            link.send_isup(circuit.key[0], Isup(circuit.key[1], IsupType.ACM))
+            link.send_isup(circuit.key[0], Isup(circuit.key[1], IsupType.ANM, uui=answer.description))
+
+    def release(self, request: Request, cause: int) -> None:
+        circuit = self._circuit(request.offer.call)
+        if circuit is not None:
+            self._release(circuit, cause)
+
+    def release_unknown(self, call: str, cause: int) -> None:
+        """A call from before our restart has no circuit here that could be named."""
+
+    # --- Circuits ---------------------------------------------------------------------------------------
+
+    def _circuit(self, call: str) -> Circuit | None:
+        key = self.by_call.get(call)
+        return self.circuits.get(key) if key is not None else None
+
+    def _release(self, circuit: Circuit, cause: int, congestion: int = 0) -> None:
+        """REL on the circuit's own association, else on any active one; again each T1 until its RLC."""
+        circuit.clearing, circuit.standing = True, False
+        link = self.links.get(circuit.line)
+        if link is None or link.state != ACTIVE:
+            link = next((other for other in self.links if other.state == ACTIVE), None)
+        if link is not None:
+            release = Isup(circuit.key[1], IsupType.REL, cause=cause, congestion=congestion)
+            link.send_isup(circuit.key[0], release)
+        if circuit.t1 is not None:
+            circuit.t1.cancel()
+        wait = T1_NS if link is not None else RELEASE_KEPT_NS
+        act = (lambda: self._release(circuit, cause)) if link is not None else (lambda: self._drop(circuit))
+        circuit.t1 = self.loop.deadlines.at(self.loop.now + wait, act)
+
+    def _drop(self, circuit: Circuit) -> None:
+        if circuit.t1 is not None:
+            circuit.t1.cancel()
+        if self.circuits.get(circuit.key) is circuit:
+            del self.circuits[circuit.key]
+        self.by_call.pop(circuit.call, None)
--- /dev/null
+++ b/arrowrail/wire/m3ua_link.py
@@ -0,0 +1,207 @@
+"""One M3UA association on a TCP connection, in either role: handshake, heartbeat, errors, DATA."""
+
+from __future__ import annotations
+
+import errno
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from arrowrail.core import MS
+from arrowrail.run.loop import Loop
+from arrowrail.state.deadlines import Deadline
+from arrowrail.wire import isup, m3ua
+from arrowrail.wire.isup import Isup, IsupError
+from arrowrail.wire.m3ua import Error, Kind, M3uaError, Message, ProtocolData, Tag
+from arrowrail.wire.stream import Stream
+
+DOWN, INACTIVE, ACTIVE = "down", "inactive", "active"
+HANDSHAKE_NS = 2_000 * MS  # T(ack) of RFC 4666: an answer to ASPUP or ASPAC that takes longer won't come
+MISSED_BEATS = 2
+AFFECTED_POINT_CODE = 0x0012
+
+
+@dataclass(frozen=True, slots=True)
+class M3uaSettings:
+    point_code: int  # our own
+    routing_context: int | None
+    network_appearance: int | None
+    heartbeat_ns: int
+
+
+class User(Protocol):
+    def active(self, link: Association) -> None:
+        """Traffic may flow."""
+
+    def isup(self, link: Association, label: ProtocolData, message: Isup) -> None: ...
+    def lost(self, link: Association, why: OSError | None) -> None: ...
+
+
+class Association:
+    def __init__(self, loop: Loop, settings: M3uaSettings, user: User, asks: bool) -> None:
+        self.loop, self.settings, self.user = loop, settings, user
+        self.asks = asks  # we are the side that connects and sends ASPUP
+        self.state = DOWN
+        self.stream: Stream | None = None
+        self.handle = 0  # the front's slot
+        self._parser = m3ua.M3uaParser()
+        self._handshake: Deadline | None = None
+        self._beat: Deadline | None = None
+        self._heard_at = loop.now
+
+    # --- The connection ---------------------------------------------------------------------------------
+
+    def connected(self) -> None:
+        self._heard_at = self.loop.now
+        self._beat = self.loop.deadlines.at(self.loop.now + self.settings.heartbeat_ns, self._heartbeat)
+        if self.asks:
+            self._ask(Kind.ASPUP)
+
+    def received(self, data: bytes) -> None:
+        self._heard_at = self.loop.now
+        for found in self._parser.feed(data):
+            try:
+                if isinstance(found, M3uaError):
+                    raise found
+                self._message(found)
+            except M3uaError as wrong:
+                logger.warning("M3UA: {}", wrong)
+                self._send(m3ua.error(wrong.code, str(wrong)))
+                if wrong.fatal and self.stream is not None:
+                    self.stream.fail(OSError(errno.EPROTO, str(wrong)))
+            if self.stream is None or not self.stream.open:
+                return
+
+    def lost(self, why: OSError | None) -> None:
+        self.state = DOWN
+        for deadline in (self._handshake, self._beat):
+            if deadline is not None:
+                deadline.cancel()
+        self.user.lost(self, why)
+
+    def close(self) -> None:
+        """Say goodbye in good order, where there is somebody to hear it."""
+        stream = self.stream
+        if stream is not None:
+            if self.asks and self.state != DOWN:
+                self._send(m3ua.encode(Message(Kind.ASPDN)))
+            stream.finish()
+        self.state = DOWN
+        for deadline in (self._handshake, self._beat):
+            if deadline is not None:
+                deadline.cancel()
+
+    def send_isup(self, dpc: int, message: Isup, tag: object = None) -> None:
+        label = ProtocolData(self.settings.point_code, dpc, isup.encode(message), sls=message.cic & 0xF)
+        self._send(m3ua.data(label, self.settings.routing_context, self.settings.network_appearance), tag)
+
+    def _send(self, data: bytes, tag: object = None) -> None:
+        if self.stream is not None:
+            self.stream.send(data, tag)
+
+    def _heartbeat(self) -> None:
+        """Guards against a peer that vanished, or stalls in the middle of a message, being trusted on."""
+        quiet = self.loop.now - self._heard_at
+        if quiet > MISSED_BEATS * self.settings.heartbeat_ns:
+            if self.stream is not None:
+                self.stream.fail(OSError(errno.ETIMEDOUT, "no heartbeat"))
+            return
+        if self.state != DOWN:
+            beat = {int(Tag.HEARTBEAT): self.loop.now.to_bytes(8, "big")}
+            self._send(m3ua.encode(Message(Kind.BEAT, beat)))
+        self._beat = self.loop.deadlines.at(self.loop.now + self.settings.heartbeat_ns, self._heartbeat)
+
+    # --- The handshake ----------------------------------------------------------------------------------
+
+    def _ask(self, kind: Kind) -> None:
+        parameters = {}
+        if kind == Kind.ASPAC:
+            parameters[int(Tag.TRAFFIC_MODE)] = m3ua.number(m3ua.TRAFFIC_LOADSHARE)
+            parameters |= self._context()
+        self._send(m3ua.encode(Message(kind, parameters)))
+        if self._handshake is not None:
+            self._handshake.cancel()
+        late = OSError(errno.ETIMEDOUT, f"no answer to {kind.name}")
+        stream = self.stream
+        self._handshake = self.loop.deadlines.at(
+            self.loop.now + HANDSHAKE_NS, lambda: stream.fail(late) if stream is not None else None
+        )
+
+    def _context(self) -> dict[int, bytes]:
+        context = self.settings.routing_context
+        return {int(Tag.ROUTING_CONTEXT): m3ua.number(context)} if context is not None else {}
+
+    def _check(self, message: Message) -> None:
+        context, appearance = message.number(Tag.ROUTING_CONTEXT), message.number(Tag.NETWORK_APPEARANCE)
+        if context is not None and context != self.settings.routing_context:
+            raise M3uaError(Error.INVALID_CONTEXT, f"routing context {context}", False)
+        if appearance is not None and appearance != self.settings.network_appearance:
+            raise M3uaError(Error.INVALID_APPEARANCE, f"network appearance {appearance}", False)
+
+    def _activate(self) -> None:
+        self.state = ACTIVE
+        self.user.active(self)
+
+    def _message(self, message: Message) -> None:
+        kind = message.kind
+        if kind == Kind.DATA:
+            self._data(message)
+        elif kind == Kind.BEAT:
+            self._send(m3ua.encode(Message(Kind.BEAT_ACK, message.parameters)))
+        elif kind == Kind.ERR:
+            logger.warning("M3UA: peer reports error {}", message.number(Tag.ERROR_CODE))
+        elif self.asks:
+            self._answered(kind)
+        else:
+            self._asked(kind, message)
+
+    def _answered(self, kind: Kind) -> None:
+        if kind == Kind.ASPUP_ACK and self.state == DOWN:
+            self.state = INACTIVE
+            self._ask(Kind.ASPAC)
+        elif kind == Kind.ASPAC_ACK and self.state == INACTIVE:
+            if self._handshake is not None:
+                self._handshake.cancel()
+            self._activate()
+        elif kind in (Kind.ASPIA_ACK, Kind.ASPDN_ACK) and self.stream is not None:
+            self.stream.fail(OSError(errno.ECONNABORTED, "put out of service by the peer"))
+
+    def _asked(self, kind: Kind, message: Message) -> None:
+        if kind == Kind.ASPUP:
+            self.state = INACTIVE
+            self._send(m3ua.encode(Message(Kind.ASPUP_ACK)))
+        elif kind == Kind.ASPDN:
+            self.state = DOWN
+            self._send(m3ua.encode(Message(Kind.ASPDN_ACK)))
+        elif kind in (Kind.ASPAC, Kind.ASPIA):
+            if self.state == DOWN:
+                raise M3uaError(Error.UNEXPECTED_MESSAGE, f"{kind.name} before ASPUP", False)
+            self._check(message)
+            mode = message.number(Tag.TRAFFIC_MODE)
+            if mode not in (None, m3ua.TRAFFIC_OVERRIDE, m3ua.TRAFFIC_LOADSHARE):
+                raise M3uaError(Error.UNSUPPORTED_MODE, f"traffic mode {mode}", False)
+            if kind == Kind.ASPIA:
+                self.state = INACTIVE
+                self._send(m3ua.encode(Message(Kind.ASPIA_ACK, self._context())))
+            else:
+                self._send(m3ua.encode(Message(Kind.ASPAC_ACK, self._context())))
+                self._activate()
+
+    def _data(self, message: Message) -> None:
+        if self.state != ACTIVE:
+            raise M3uaError(Error.UNEXPECTED_MESSAGE, f"DATA while {self.state}", False)
+        self._check(message)
+        label = m3ua.read_data(message)
+        if label.dpc != self.settings.point_code:
+            affected = {AFFECTED_POINT_CODE: m3ua.number(label.dpc)}
+            self._send(m3ua.encode(Message(Kind.DUNA, affected)))
+            return
+        if label.service != m3ua.SI_ISUP:
+            raise M3uaError(Error.PROTOCOL_ERROR, f"service indicator {label.service}", False)
+        try:
+            decoded = isup.decode(label.user)
+        except IsupError as wrong:
+            raise M3uaError(Error.PROTOCOL_ERROR, f"ISUP: {wrong}", False) from wrong
+        if decoded is not None:
+            self.user.isup(self, label, decoded)
--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip_front.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from dataclasses import dataclass, field
 
 from loguru import logger
 
 from arrowrail.core import FAILED, MS, REFUSED, STANDS, Answer, Core, Offer, Request
-from arrowrail.run.loop import READ, Loop
+from arrowrail.run.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.wire import sip
-from arrowrail.wire.stream import Stream, parse_address
+from arrowrail.wire.listener import Listener
+from arrowrail.wire.stream import Stream
 
 IDLE_NS = 20_000 * MS  # callers close theirs after 4 s: what idles longer has a peer that is gone
 SWEEP_NS = 1_000 * MS
 RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for a connection to go out on
 RESERVED = 128  # descriptors kept for desk exchanges, the list and the process itself
-FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Caller:
@@ -75,60 +74,29 @@
     callers: SlotTable[Caller] = field(default_factory=SlotTable)
     dialogs: dict[str, Dialog] = field(default_factory=dict)
     undelivered: list[Undelivered] = field(default_factory=list)
-    listener: socket.socket | None = None
-    paused: bool = False
+    listener: Listener | None = None
 
     def start(self) -> None:
         self.core.fronts.append(self)
-        host, port = parse_address(self.address)
-        self.listener = socket.create_server((host, port), backlog=512, reuse_port=False)
-        self.listener.setblocking(False)
-        self.loop.watch(self.listener, READ, self._accept)
+        self.listener = Listener(self.loop, self.address, self._accepted, self._room, self._close_idlest)
         self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
 
     # --- Connections ------------------------------------------------------------------------------------
 
-    def _accept(self, _mask: int) -> None:
-        assert self.listener is not None
-        for _ in range(64):
-            if len(self.callers) >= max(8, self.max_sockets - RESERVED) and not self._close_idlest():
-                self._pause()
-                return
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as why:
-                if why.errno not in FULL:
-                    continue  # the caller was gone before it was accepted
-                # Guards against EMFILE spinning the loop: the connection stays in the backlog.
-                logger.warning("no descriptor for a caller: {}", why)
-                if not self._close_idlest():
-                    self._pause()
-                    return
-                continue
-            caller = Caller(self, sock)
-            waiting, self.undelivered = self.undelivered, []
-            for release in waiting:
-                caller.stream.send(release.message)
-
-    def _pause(self) -> None:
-        """Accept no more until a connection has closed, or the next sweep."""
-        if not self.paused and self.listener is not None:
-            self.paused = True
-            self.loop.unwatch(self.listener)
-
-    def _resume(self) -> None:
-        if self.paused and self.listener is not None:
-            self.paused = False
-            self.loop.watch(self.listener, READ, self._accept)
+    def _accepted(self, sock: socket.socket) -> None:
+        caller = Caller(self, sock)
+        waiting, self.undelivered = self.undelivered, []
+        for release in waiting:
+            caller.stream.send(release.message)
+
+    def _room(self) -> bool:
+        return len(self.callers) < max(8, self.max_sockets - RESERVED)
 
     def _close_idlest(self) -> bool:
         idle = [c for c in self.callers if not c.open_calls]
-        if not idle:
-            return False
-        self._close(min(idle, key=lambda c: c.idle_since))
-        return True
+        if idle:
+            self._close(min(idle, key=lambda c: c.idle_since))
+        return bool(idle)
 
     def _close(self, caller: Caller) -> None:
         caller.stream.close()
@@ -140,7 +108,8 @@
             if not caller.open_calls and now - caller.idle_since > IDLE_NS:
                 self._close(caller)
         self.undelivered = [u for u in self.undelivered if u.until > now]
-        self._resume()
+        if self.listener is not None:
+            self.listener.resume()
         self.loop.deadlines.at(now + SWEEP_NS, self._sweep)
 
     def gone(self, caller: Caller) -> None:
@@ -150,7 +119,8 @@
             self.dialogs.pop(call, None)
             self.core.caller_gone(call)
         caller.open_calls = set()
-        self._resume()
+        if self.listener is not None:
+            self.listener.resume()
 
     # --- From callers -----------------------------------------------------------------------------------
 
