--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# build: the environment that run needs; test, lint: also the tools for them; run: one controller
+VENV ?= .venv
+PYTHON ?= $(VENV)/bin/python
+
+.PHONY: build dev test lint run check
+build:
+	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt
+
+dev: build
+	$(VENV)/bin/pip -q install ruff==0.17.6 mypy==2.4.1 pytest==9.2.0
+
+test:
+	$(PYTHON) -m pytest -q
+
+lint:
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m mypy
+
+run:
+	$(PYTHON) -B -m arrowrail $(ARGS)
+
+check:
+	$(PYTHON) -m arrowrail.config check $(FILES)
--- a/arrowrail/wire/m3ua_back.py
+++ b/arrowrail/wire/m3ua_back.py
@@ -194,6 +194,8 @@
             self._free(use)
             if not clearing:
                 core.desk_released(self.desk, use.call, causes.ended_by(m.cause), m.cause)
+                # After the outcome: 'no circuit' beyond the peer says nothing of the circuits toward it.
+                self.tell_group()
         elif m.kind == IsupType.RLC and use.clearing:
             self._free(use)
 
--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip_front.py
@@ -23,13 +23,15 @@
 class Caller:
     """One connection from callers; it carries many calls."""
 
-    __slots__ = ("front", "handle", "idle_since", "open_calls", "parser", "stream")
+    __slots__ = ("front", "handle", "idle_since", "open_calls", "parser", "serial", "stream")
 
     def __init__(self, front: SipFront, sock: socket.socket) -> None:
         self.front = front
         self.parser = sip.SipParser()
         self.open_calls: set[str] = set()  # set-ups without their final answer
         self.idle_since = front.loop.now
+        # Guards against the newest of those accepted in one turn being closed as the idlest of them.
+        self.serial = front.accepted = front.accepted + 1
         self.handle = front.callers.add(self)
         self.stream = Stream(front.loop, sock, self)
 
@@ -75,6 +77,7 @@
     dialogs: dict[str, Dialog] = field(default_factory=dict)
     undelivered: list[Undelivered] = field(default_factory=list)
     listener: Listener | None = None
+    accepted: int = 0
 
     def start(self) -> None:
         self.core.fronts.append(self)
@@ -95,7 +98,7 @@
     def _close_idlest(self) -> bool:
         idle = [c for c in self.callers if not c.open_calls]
         if idle:
-            self._close(min(idle, key=lambda c: c.idle_since))
+            self._close(min(idle, key=lambda c: (c.idle_since, c.serial)))
         return bool(idle)
 
     def _close(self, caller: Caller) -> None:
--- /dev/null
+++ b/tests/live.py
@@ -0,0 +1,297 @@
+"""A whole program on loopback sockets, and the stand-ins that tests put before and behind it.
+
+Every wait is for a condition, with a limit that only a hang reaches.
+"""
+
+from __future__ import annotations
+
+import copy
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, Generic, TypeVar
+
+import orjson
+
+from arrowrail.config.model import Operator
+from arrowrail.run.config import Config
+from arrowrail.run.main import Program
+from arrowrail.wire import binary, m3ua, sip
+from arrowrail.wire.bus import event_of
+from arrowrail.wire.isup import Isup, IsupType
+from arrowrail.wire.isup import decode as read_isup
+from arrowrail.wire.isup import encode as write_isup
+from arrowrail.wire.m3ua import Kind, Message, ProtocolData, Tag
+from tests.test_simhost import INFO
+from trackhatch.simhost import read_settings
+
+LIMIT_S = 10.0
+M = TypeVar("M")
+SDP = b"9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n"
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    info = copy.deepcopy(INFO) | {"instances": 3}
+    info["contract"]["drain-grace-ns"] = 500_000_000
+    info["policy-limits"] |= {"may-cancel": True}
+    return info | changes
+
+
+def wait_until(holds: Callable[[], Any], what: str = "condition") -> None:
+    end = time.monotonic() + LIMIT_S
+    while not holds():
+        assert time.monotonic() < end, f"never came: {what}"
+        time.sleep(0.002)
+
+
+class Peer(Generic[M]):
+    """One connection seen from outside, message by message."""
+
+    def __init__(self, sock: socket.socket, feed: Callable[[bytes], list[Any]]) -> None:
+        sock.settimeout(LIMIT_S)
+        self.sock, self._feed = sock, feed
+        self._ready: list[Any] = []
+
+    def take(self, fits: Callable[[M], bool] = lambda m: True) -> M:
+        """The next message that fits; others before it are passed over."""
+        while True:
+            while self._ready:
+                message: M = self._ready.pop(0)
+                if fits(message):
+                    return message
+            data = self.sock.recv(65536)
+            if not data:
+                raise EOFError("the program closed the connection")
+            self._ready += self._feed(data)
+
+    def closed(self) -> bool:
+        """Read on until the program has closed this connection."""
+        try:
+            self.take(lambda m: False)
+        except (EOFError, ConnectionResetError):
+            return True
+        return False
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+class Caller(Peer[sip.SipMessage]):
+    def __init__(self, port: int) -> None:
+        super().__init__(socket.create_connection(("127.0.0.1", port)), sip.SipParser().feed)
+
+    def send(self, method: str, call: str, *headers: str, body: bytes = b"") -> None:
+        lines = [f"{method} sip:00000000000000ab@net SIP/2.0", "Via: SIP/2.0/TCP peer", f"Call-ID: {call}"]
+        lines += [f"CSeq: 1 {method}", *headers, f"Content-Length: {len(body)}", "", ""]
+        self.sock.sendall("\r\n".join(lines).encode() + body)
+
+    def invite(
+        self, call: str, dest: int = 1, patience: int = 8000, body: bytes = SDP, more: str = ""
+    ) -> None:
+        self.send(
+            "INVITE", call, "Subject: check", f"X-Patience: {patience}",
+            f"X-Facts: dest:{dest};width:1;via:-1{more}", body=body,
+        )  # fmt: skip
+
+    def answer(self, call: str, method: str = "INVITE") -> sip.SipMessage:
+        return self.take(lambda m: m.status > 0 and m.call_id == call and m.cseq_method == method)
+
+    def bye(self, call: str) -> sip.SipMessage:
+        return self.take(lambda m: m.method == "BYE" and m.call_id == call)
+
+
+class Listening:
+    """A stand-in's port; it speaks only on the connections that a test takes from it."""
+
+    def __init__(self, receive_buffer: int = 0) -> None:
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(16)
+        self.sock.settimeout(LIMIT_S)
+        self.port: int = self.sock.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+
+    def accept(self) -> socket.socket:
+        return self.sock.accept()[0]
+
+    def desk(self, free: int = 10) -> Peer[binary.DeskMessage]:
+        """The next connection of a binary back, told the state of the group at once."""
+        peer: Peer[binary.DeskMessage] = Peer(self.accept(), binary.BinaryParser().feed)
+        tell(peer, binary.GROUP, "0" * 16, free=free, size=10)
+        return peer
+
+
+def tell(peer: Peer[binary.DeskMessage], kind: int, call: str, **more: Any) -> None:
+    peer.sock.sendall(binary.encode(binary.DeskMessage(kind, int(call, 16), **more)))
+
+
+def set_up(peer: Peer[binary.DeskMessage], call: str) -> binary.DeskMessage:
+    return peer.take(lambda m: m.kind == binary.SET_UP and m.call == int(call, 16))
+
+
+def release(peer: Peer[binary.DeskMessage], call: str) -> binary.DeskMessage:
+    return peer.take(lambda m: m.kind == binary.RELEASE and m.call == int(call, 16))
+
+
+def target(uid: str, address: str, cell: int, state: str = "in_service", **more: Any) -> dict[str, Any]:
+    return {
+        "uid": uid,
+        "endpoint": address,
+        "az": "z",
+        "pod_group": cell,
+        "state": state,
+        "boot_ms": 0,
+    } | more
+
+
+def news(offset: int, *targets: dict[str, Any], whole: bool = False) -> dict[str, Any]:
+    return {"offset": offset, "topology": {"rev": offset, "all": whole, "targets": list(targets)}}
+
+
+class Running:
+    """The program in a thread of this process, so that tests can look at its core."""
+
+    def __init__(self, config: Config, operator: Operator | None) -> None:
+        self.program = Program(config, operator)
+        self.core = self.program.core
+        self._end = False
+        self._inside, self._outside = socket.socketpair()
+        self.program.loop.watch(self._inside, 1, lambda mask: None)
+        self.failure: BaseException | None = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.program.start()
+        self._thread.start()
+
+    @property
+    def port(self) -> int:
+        assert self.program.front.listener is not None
+        return self.program.front.listener.port
+
+    def _run(self) -> None:
+        try:
+            while not self._end:
+                self.program.turn()
+        except BaseException as failure:
+            self.failure = failure
+
+    def stop(self) -> None:
+        self._end = True
+        self._outside.send(b".")
+        self._thread.join(LIMIT_S)
+        assert self.failure is None, self.failure
+        self._inside.close()
+        self._outside.close()
+
+
+@contextmanager
+def running(
+    *targets: dict[str, Any], bus: str = "", operator: Operator | None = None, sockets: int = 1024,
+    info: dict[str, Any] | None = None, defects: int = 0,
+) -> Iterator[Running]:  # fmt: skip
+    """A program that was told of these desk exchanges; at the end no check of the core may have fired."""
+    known = (event_of(news(1, *targets, whole=True)),)
+    config = Config(
+        "n0", "127.0.0.1:0", 7, sockets, bus, known, 1, read_settings(info or settings()), 500_000_000
+    )
+    if not bus:  # told once, with nothing to follow
+        config = Config(
+            "n0", "127.0.0.1:0", 7, sockets, "127.0.0.1:9", known, 1, config.settings, 500_000_000
+        )
+    run = Running(config, operator)
+    try:
+        yield run
+    finally:
+        run.stop()
+    assert run.core.defects == defects
+
+
+class BusStand:
+    """The event bus: answers one read at a time."""
+
+    def __init__(self) -> None:
+        self.port = Listening()
+        self.sock: socket.socket | None = None
+
+    def accept(self) -> int:
+        """Take the next read; returns the last event that the reader holds."""
+        self.sock = self.port.accept()
+        self.sock.settimeout(LIMIT_S)
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += self.sock.recv(4096)
+        self.sock.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: \n\n"
+        )
+        line = next(part for part in head.split(b"\r\n") if part.lower().startswith(b"last-event-id:"))
+        return int(line.split(b":")[1])
+
+    def tell(self, event: dict[str, Any]) -> None:
+        assert self.sock is not None
+        self.sock.sendall(b"id: %d\ndata: %s\n\n" % (event["offset"], json.dumps(event).encode()))
+
+    def cut(self) -> None:
+        assert self.sock is not None
+        self.sock.close()
+
+
+class M3uaPeer(Peer[m3ua.Message]):
+    """A signalling peer of either side, with its own point code."""
+
+    def __init__(self, sock: socket.socket, own: int, other: int) -> None:
+        super().__init__(sock, m3ua.M3uaParser().feed)
+        self.own, self.other = own, other
+
+    def say(self, kind: Kind, **parameters: bytes) -> None:
+        self.sock.sendall(m3ua.encode(Message(kind, {Tag[k]: v for k, v in parameters.items()})))
+
+    def wants(self, kind: Kind) -> m3ua.Message:
+        return self.take(lambda m: isinstance(m, Message) and m.kind == kind)
+
+    def up(self) -> M3uaPeer:
+        """The handshake of a client."""
+        self.say(Kind.ASPUP)
+        self.wants(Kind.ASPUP_ACK)
+        self.say(Kind.ASPAC)
+        self.wants(Kind.ASPAC_ACK)
+        return self
+
+    def let_up(self) -> M3uaPeer:
+        """The handshake of a desk exchange."""
+        self.wants(Kind.ASPUP)
+        self.say(Kind.ASPUP_ACK)
+        self.wants(Kind.ASPAC)
+        self.say(Kind.ASPAC_ACK)
+        return self
+
+    def frame(self, message: Isup) -> bytes:
+        return m3ua.data(ProtocolData(self.own, self.other, write_isup(message)))
+
+    def send(self, cic: int, kind: IsupType, **more: Any) -> None:
+        self.sock.sendall(self.frame(Isup(cic, kind, **more)))
+
+    def isup(self, kind: IsupType, cic: int | None = None) -> Isup:
+        while True:
+            message = read_isup(m3ua.read_data(self.wants(Kind.DATA)).user)
+            if message is not None and message.kind == kind and cic in (None, message.cic):
+                return message
+
+
+def operator(**tables: Any) -> Operator:
+    return Operator.model_validate(_tuples({"application": "test", **tables}))
+
+
+def _tuples(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _tuples(v) for key, v in value.items()}
+    return tuple(_tuples(v) for v in value) if isinstance(value, list | tuple) else value
+
+
+def as_json(value: Any) -> bytes:
+    return orjson.dumps(value)
--- /dev/null
+++ b/tests/test_live_m3ua.py
@@ -0,0 +1,323 @@
+"""M3UA-style signalling on real sockets: clients before the program, desk exchanges behind it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from arrowrail.config.model import Operator
+from arrowrail.wire import binary, m3ua
+from arrowrail.wire.isup import Isup, IsupType
+from arrowrail.wire.isup import decode as read_isup
+from arrowrail.wire.m3ua import Error, Kind, Tag
+from tests.live import (
+    BusStand,
+    Caller,
+    Listening,
+    M3uaPeer,
+    Running,
+    news,
+    operator,
+    running,
+    target,
+    tell,
+    wait_until,
+)  # fmt: skip
+
+IAM, ACM, ANM, REL, RLC = IsupType.IAM, IsupType.ACM, IsupType.ANM, IsupType.REL, IsupType.RLC
+OWN, CLIENT, DESK, OTHER = 1, 11, 21, 22
+CALL = "00000000000000a1"
+
+
+def configured(*desks: dict[str, Any], deadline_ms: int = 8000) -> Operator:
+    return operator(
+        m3ua={
+            "enabled": True, "listen": "127.0.0.1:0", "point_code": OWN, "circuits": 10, "desks": desks,
+            "heartbeat_ms": 60000, "classes": [{"name": "check", "deadline_ms": deadline_ms}],
+            "numbers": [{"prefix": "1", "exchange": 1}, {"prefix": "2", "exchange": 2}],
+        }
+    )  # fmt: skip
+
+
+def behind(uid: str, port: Listening, exchange: int, point_code: int) -> dict[str, Any]:
+    return {"uid": uid, "address": port.address, "exchange": exchange, "point_code": point_code}
+
+
+def client(run: Running) -> M3uaPeer:
+    front: Any = next(f for f in run.core.fronts if type(f).__name__ == "M3uaFront")
+    sock = Caller(front.listener.port).sock
+    return M3uaPeer(sock, CLIENT, OWN).up()
+
+
+def desk(port: Listening, point_code: int = DESK) -> M3uaPeer:
+    return M3uaPeer(port.accept(), point_code, OWN).let_up()
+
+
+@contextmanager
+def both_sides(deadline_ms: int = 8000) -> Iterator[tuple[Running, M3uaPeer, M3uaPeer]]:
+    port = Listening()
+    with running(operator=configured(behind("m1", port, 1, DESK), deadline_ms=deadline_ms)) as run:
+        peer = desk(port)
+        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        yield run, client(run), peer
+
+
+def test_a_call_passes_both_ways_and_is_released_by_either_side() -> None:
+    with both_sides() as (run, caller, peer):
+        caller.send(7, IAM, called="1234", uui=b"offer")
+        sent = peer.isup(IAM)
+        assert (sent.called, sent.uui) == ("1234", b"offer")
+        peer.send(sent.cic, ACM)
+        peer.send(sent.cic, ANM, uui=b"answer")
+        caller.isup(ACM, 7)
+        assert caller.isup(ANM, 7).uui == b"answer"
+        peer.send(sent.cic, REL, cause=16)
+        peer.isup(RLC, sent.cic)
+        assert caller.isup(REL, 7).cause == 16
+        caller.send(7, RLC)
+        caller.send(7, IAM, called="1234")  # the circuit is used again
+        again = peer.isup(IAM)
+        peer.send(again.cic, ANM)
+        caller.isup(ANM, 7)
+        caller.send(7, REL, cause=16)
+        caller.isup(RLC, 7)
+        assert peer.isup(REL, again.cic).cause == 16
+        assert run.core.module.groups[1].free == 9  # taken until it is confirmed
+        peer.send(again.cic, RLC)
+        wait_until(lambda: run.core.module.groups[1].free == 10)
+
+
+@pytest.mark.parametrize("over_sip", [False, True])
+@pytest.mark.parametrize(("cause", "to_client"), [(34, 34), (42, 42), (17, 17), (47, 47)])
+def test_each_refusal_is_the_same_answer_over_sip(cause: int, to_client: int, over_sip: bool) -> None:
+    with both_sides() as (run, caller, peer):
+        if over_sip:
+            sip = Caller(run.port)
+            sip.invite(CALL, body=b"short")
+        else:
+            caller.send(1, IAM, called="15")
+        peer.send(peer.isup(IAM).cic, REL, cause=cause)
+        if over_sip:
+            answer = sip.answer(CALL)
+            assert answer.status == 503 and int(answer.headers["x-later-ms"]) > 0
+        else:
+            release = caller.isup(REL, 1)
+            assert (release.cause, release.congestion) == (to_client, 1)
+
+
+@pytest.mark.parametrize("over_sip", [False, True])
+def test_no_answer_by_the_mapped_deadline_is_a_failure_on_both(over_sip: bool) -> None:
+    with both_sides(deadline_ms=150) as (run, caller, peer):
+        sip = Caller(run.port)
+        if over_sip:
+            sip.invite(CALL, patience=150, body=b"")
+        else:
+            caller.send(1, IAM, called="15")
+        out = peer.isup(IAM)
+        if over_sip:
+            assert sip.answer(CALL).status == 500
+        else:
+            assert caller.isup(REL, 1).cause == 102
+        assert peer.isup(REL, out.cic).cause == 16
+        peer.send(out.cic, ANM)  # crossed: the circuit is being cleared already
+        peer.send(out.cic, RLC)
+        wait_until(lambda: not run.core.requests and run.core.module.groups[1].free == 10)
+
+
+@pytest.mark.parametrize(("called", "cause"), [("9", 1), ("2", 34)])
+def test_a_number_without_a_route_is_refused(called: str, cause: int) -> None:
+    with both_sides() as (_run, caller, _peer):
+        caller.send(1, IAM, called=called)
+        assert caller.isup(REL, 1).cause == cause
+
+
+def test_a_client_that_releases_early_or_goes_gives_its_set_up_up() -> None:
+    with both_sides() as (run, caller, peer):
+        caller.send(1, IAM, called="15")
+        first = peer.isup(IAM)
+        caller.send(1, IAM, called="15")  # sent again: no second call
+        caller.send(1, REL, cause=16)
+        caller.isup(RLC, 1)
+        assert peer.isup(REL, first.cic).cause == 16
+        caller.send(2, IAM, called="15")
+        second = peer.isup(IAM)
+        caller.sock.close()
+        assert peer.isup(REL, second.cic).cause == 16
+        wait_until(lambda: not run.core.requests)
+
+
+def test_a_standing_call_outlives_its_client_association() -> None:
+    with both_sides() as (run, caller, peer):
+        caller.send(1, IAM, called="15")
+        out = peer.isup(IAM)
+        peer.send(out.cic, ANM)
+        caller.isup(ANM, 1)
+        caller.reset()
+        front: Any = run.core.fronts[0]
+        wait_until(lambda: len(front.links) == 0)
+        peer.send(out.cic, REL, cause=16)
+        wait_until(lambda: not run.core.requests)
+        assert client(run).isup(REL, 1).cause == 16
+
+
+def test_sip_calls_reach_m3ua_desk_exchanges_and_the_other_way_round() -> None:
+    sip_port, m3ua_port = Listening(), Listening()
+    described = configured(behind("m1", m3ua_port, 2, DESK))
+    with running(target("d1", sip_port.address, 1), operator=described) as run:
+        binary_peer, m3ua_peer = sip_port.desk(), desk(m3ua_port)
+        wait_until(lambda: len([g for g in run.core.module.groups.values() if g.size > 0]) == 2)
+        caller, sip = client(run), Caller(run.port)
+        caller.send(1, IAM, called="12", uui=b"o")
+        sent = binary_peer.take(lambda m: m.kind == binary.SET_UP)
+        assert (sent.class_name, sent.number, sent.description) == ("check", "12", b"o")
+        tell(binary_peer, binary.ANSWER, f"{sent.call:016x}", description=b"a")
+        assert caller.isup(ANM, 1).uui == b"a"
+        sip.invite(CALL, dest=2, body=b"o")
+        out = m3ua_peer.isup(IAM)
+        m3ua_peer.send(out.cic, ANM, uui=b"a")
+        assert (sip.answer(CALL).status, out.uui) == (200, b"o")
+
+
+def test_a_peer_stalled_in_the_middle_of_a_message_gets_nothing_late() -> None:
+    """A desk exchange reads nothing and sends half a message, with set-ups queued behind; then it drains."""
+    port, bus = Listening(receive_buffer=2048), BusStand()
+    line = target("m1", port.address, 1, signalling="m3ua", point_code=DESK)
+    with running(operator=configured(), bus=bus.port.address) as run:
+        bus.accept()
+        bus.tell(news(2, line))
+        peer, caller = desk(port), client(run)
+        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        caller.send(1, IAM, called="15")
+        out = peer.isup(IAM)
+        back: Any = run.core.backs["m3ua"]
+        stream = back.trunks[1].link.stream
+        beats = 0
+        while not stream._out:  # its echoes fill the way to the peer
+            peer.say(Kind.BEAT, HEARTBEAT=b"x" * 8000)
+            beats += 1
+            assert beats < 1000
+        half = peer.frame(Isup(out.cic, ANM, uui=b"answer"))
+        peer.sock.sendall(half[:20])
+        for cic in (2, 3, 4):
+            caller.send(cic, IAM, called="15")
+        wait_until(lambda: len([u for u in list(back.trunks[1].uses.values()) if stream.unsent(u.call)]) == 3)
+        bus.tell(news(3, line | {"state": "terminating"}))
+        ended = sorted(caller.isup(REL).cic for _ in range(3))  # refused at once: nothing had left
+        assert ended == [2, 3, 4]
+        peer.sock.sendall(half[20:])
+        assert caller.isup(ANM, 1).uui == b"answer"
+        peer.say(Kind.BEAT, HEARTBEAT=b"after")
+        message = peer.take()
+        while message.parameters.get(Tag.HEARTBEAT) != b"after":
+            assert message.kind == Kind.BEAT_ACK  # no set-up, and no release of one, came behind
+            message = peer.take()
+        assert len(run.core.requests) == 1
+
+
+def test_a_reset_during_a_processor_swap_ends_every_call_once() -> None:
+    """The old processor drains beside the new one, and resets its association in the middle of calls."""
+    ports, bus = (Listening(), Listening()), BusStand()
+    old_line = target("m1", ports[0].address, 1, signalling="m3ua", point_code=DESK)
+    booted = int(time.time() * 1000) - 60_000
+    new_line = target("m2", ports[1].address, 1, signalling="m3ua", point_code=OTHER, boot_ms=booted)
+    with running(operator=configured(), bus=bus.port.address) as run:
+        bus.accept()
+        bus.tell(news(2, old_line))
+        old, caller = desk(ports[0]), client(run)
+        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        for cic in (1, 2, 3):
+            caller.send(cic, IAM, called="15")
+        outs = [old.isup(IAM).cic for _ in range(3)]
+        old.send(outs[0], ANM)
+        caller.isup(ANM, 1)  # one stands, two are out
+        bus.tell(news(3, old_line | {"state": "terminating"}, new_line))
+        new = desk(ports[1], OTHER)
+        wait_until(lambda: run.core.module.in_service[1].entry.office == 2)
+        began = time.monotonic()
+        old.reset()
+        first, second = new.isup(IAM), new.isup(IAM)
+        assert time.monotonic() - began >= 0.3  # the release pause
+        new.send(first.cic, ANM, uui=b"new")
+        new.send(second.cic, REL, cause=17)
+        ended = {m.cic: m.kind for m in (_final(caller), _final(caller))}
+        assert sorted(ended.values()) == [ANM, REL] and set(ended) == {2, 3}
+        bus.tell(news(4, old_line | {"state": "terminated"}))
+        assert caller.isup(REL, 1).cause == 41  # what stood on the old one is cut
+        caller.say(Kind.BEAT, HEARTBEAT=b"last")
+        assert caller.take().kind == Kind.BEAT_ACK  # and nothing more
+        assert len(run.core.requests) == 1
+
+
+def _final(caller: M3uaPeer) -> Any:
+    while True:
+        message = read_isup(m3ua.read_data(caller.wants(Kind.DATA)).user)
+        if message is not None and message.kind in (ANM, REL):
+            return message
+
+
+def test_an_association_lost_before_any_list_news_pauses_and_clears_its_circuits() -> None:
+    port = Listening()
+    with running(operator=configured(behind("m1", port, 1, DESK))) as run:
+        peer = desk(port)
+        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        caller = client(run)
+        caller.send(1, IAM, called="15")
+        out = peer.isup(IAM)
+        peer.reset()
+        assert caller.isup(REL, 1).cause == 38  # no second route, once the pause is over
+        peer = desk(port)
+        assert peer.isup(REL, out.cic).cause == 16
+        peer.send(out.cic, RLC)
+        wait_until(lambda: run.core.module.groups[1].free == 10)
+
+
+@pytest.mark.parametrize(
+    ("sent", "code"),
+    [
+        (m3ua.encode(m3ua.Message(Kind.ASPAC)), Error.UNEXPECTED_MESSAGE),
+        (m3ua.data(m3ua.ProtocolData(CLIENT, OWN, b"\1\0\x10\0")), Error.UNEXPECTED_MESSAGE),
+        (bytes.fromhex("0100630100000008"), Error.UNSUPPORTED_CLASS),
+        (bytes.fromhex("0200030100000008"), Error.INVALID_VERSION),
+    ],
+)
+def test_errors_before_the_handshake(sent: bytes, code: Error) -> None:
+    with running(operator=configured()) as run:
+        front: Any = run.core.fronts[0]
+        peer = M3uaPeer(Caller(front.listener.port).sock, CLIENT, OWN)
+        peer.sock.sendall(sent)
+        assert peer.wants(Kind.ERR).number(Tag.ERROR_CODE) == code
+        if code != Error.INVALID_VERSION:
+            peer.up()  # the association goes on
+        else:
+            assert peer.closed()
+
+
+@pytest.mark.parametrize(
+    ("sent", "kind"),
+    [
+        (m3ua.data(m3ua.ProtocolData(CLIENT, OWN, b"\1")), Kind.ERR),
+        (m3ua.data(m3ua.ProtocolData(CLIENT, OWN, b"\1\0\x10\0"), context=9), Kind.ERR),
+        (m3ua.data(m3ua.ProtocolData(CLIENT, OWN, b"\1\0\x10\0", service=3)), Kind.ERR),
+        (m3ua.data(m3ua.ProtocolData(CLIENT, 999, b"\1\0\x10\0")), Kind.DUNA),
+        (m3ua.encode(m3ua.Message(Kind.BEAT)), Kind.BEAT_ACK),
+        (m3ua.encode(m3ua.Message(Kind.ASPIA)), Kind.ASPIA_ACK),
+        (m3ua.encode(m3ua.Message(Kind.ASPDN)), Kind.ASPDN_ACK),
+    ],
+)
+def test_management_messages_once_active(sent: bytes, kind: Kind) -> None:
+    with both_sides() as (_run, caller, _peer):
+        caller.sock.sendall(sent)
+        assert caller.take().kind == kind
+
+
+def test_a_silent_peer_is_cut_off_by_missed_heartbeats() -> None:
+    described = configured().model_dump()
+    described["m3ua"]["heartbeat_ms"] = 100
+    with running(operator=operator(m3ua=described["m3ua"])) as run:
+        peer = client(run)
+        assert peer.wants(Kind.BEAT).parameters[Tag.HEARTBEAT]
+        assert peer.closed()
--- /dev/null
+++ b/tests/test_live_sip.py
@@ -0,0 +1,430 @@
+"""The rules on real sockets: SIP callers before the program, binary desk exchanges behind it."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from arrowrail.wire import binary
+from tests.live import (
+    SDP,
+    BusStand,
+    Caller,
+    Listening,
+    Peer,
+    Running,
+    news,
+    release,
+    running,
+    set_up,
+    settings,
+    target,
+    tell,
+    wait_until,
+)  # fmt: skip
+
+A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+ANSWER = b"desk\r\nc=IN IP4 10.9.9.9\r\n"
+
+
+def test_a_call_is_set_up_answered_and_released_by_the_desk_exchange() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        sent = set_up(peer, A)
+        assert (sent.class_name, sent.number, sent.description) == ("check", "00000000000000ab", SDP)
+        assert 0 < sent.wait_ms <= 8000
+        tell(peer, binary.PROGRESS, A)
+        tell(peer, binary.ANSWER, A, description=ANSWER)
+        answer = caller.answer(A)
+        assert (answer.status, answer.body) == (200, ANSWER)
+        caller.send("ACK", A)
+        tell(peer, binary.RELEASE, A, cause=16)
+        assert caller.bye(A).headers["reason"] == "Q.850;cause=16"
+        assert peer.take(lambda m: m.kind == binary.RELEASE_HEARD).call == int(A, 16)
+        tell(peer, binary.RELEASE, A, cause=16)  # told twice, as on a next connection
+        caller.send("OPTIONS", B)
+        first = caller.take()
+        assert (first.call_id, first.status) == (B, 200)  # no second release came before it
+
+
+@pytest.mark.parametrize(
+    ("cause", "note", "wait_ms", "status"),
+    [
+        (34, "processor_full", 1500, 503),
+        (34, "tandem_refused", 0, 503),
+        (17, "user_busy", 0, 503),
+        (47, "", 0, 503),
+        (102, "group_full", 0, 503),
+    ],
+)
+def test_a_refusal_is_answered_at_once_with_when_to_come_back(
+    cause: int, note: str, wait_ms: int, status: int
+) -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        tell(peer, binary.RELEASE, A, cause=cause, note=note, told_wait_ms=wait_ms)
+        answer = caller.answer(A)
+        assert answer.status == status and int(answer.headers["x-later-ms"]) > 0
+
+
+@contextmanager
+def tandems(third: Listening) -> Iterator[tuple[Running, Peer[binary.DeskMessage], Caller]]:
+    """The direct group to exchange 1 is full; calls there go over the tandems 2 or 3."""
+    ports = [Listening(), Listening()]
+    addresses = [*(p.address for p in ports), third.address]
+    with running(*(target(f"d{n}", a, n) for n, a in enumerate(addresses, 1))) as run:
+        ports[0].desk(free=0)
+        second = ports[1].desk()
+        wait_until(lambda: len([g for g in run.core.module.groups.values() if g.size > 0]) >= 2)
+        yield run, second, Caller(run.port)
+
+
+def test_after_a_reset_the_next_attempt_waits_for_the_release_pause() -> None:
+    port = Listening()
+    with tandems(port) as (run, second, caller):
+        peers = {2: second, 3: port.desk()}
+        wait_until(lambda: run.core.module.groups[3].size > 0)
+        caller.invite(A)
+        wait_until(lambda: run.core.find(A) is not None and run.core.find(A).out is not None)  # type: ignore[union-attr]
+        request = run.core.find(A)
+        assert request is not None and request.out is not None
+        first = request.out.desk.office
+        set_up(peers[first], A)
+        began = time.monotonic()
+        tell(peers[first], binary.RELEASE, A, cause=41)
+        set_up(peers[5 - first], A)
+        assert time.monotonic() - began >= 0.3 and request.attempts == 2
+
+
+def test_no_answer_by_the_deadline_ends_in_one_failure_and_a_late_answer_is_released() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A, patience=150)
+        set_up(peer, A)
+        assert caller.answer(A).status == 500
+        assert release(peer, A).cause == 16
+        tell(peer, binary.ANSWER, A, description=ANSWER)
+        assert release(peer, A).cause == 16
+        caller.send("OPTIONS", B)
+        assert caller.take().call_id == B
+
+
+def test_a_cancel_gives_the_set_up_up_and_a_crossed_answer_is_released() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        caller.send("CANCEL", A)
+        assert caller.answer(A, "CANCEL").status == 200
+        assert caller.answer(A).status == 487
+        assert release(peer, A).cause == 16
+        tell(peer, binary.ANSWER, A, description=ANSWER)  # it had left before the release came
+        assert release(peer, A).cause == 16
+        caller.invite(B)
+        set_up(peer, B)
+        tell(peer, binary.ANSWER, B, description=ANSWER)
+        assert caller.answer(B).status == 200
+        caller.send("CANCEL", B)  # it had left before our answer came
+        assert release(peer, B).cause == 16 and not run.core.requests
+
+
+def test_a_caller_that_closes_gives_its_attempts_up() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        caller.sock.close()
+        assert release(peer, A).cause == 16
+        wait_until(lambda: not run.core.unanswered)
+
+
+def test_a_standing_call_is_released_on_any_connection() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, first, other = desk.desk(), Caller(run.port), Caller(run.port)
+        for call in (A, B, C):
+            first.invite(call)
+            set_up(peer, call)
+            tell(peer, binary.ANSWER, call, description=ANSWER)
+            assert first.answer(call).status == 200
+        other.send("BYE", A)
+        assert other.answer(A, "BYE").status == 200 and release(peer, A).cause == 16
+        other.send("BYE", A)
+        assert other.answer(A, "BYE").status == 200  # a duplicate
+        other.send("BYE", "00000000000000ff")
+        assert other.answer("00000000000000ff", "BYE").status == 481
+        first.sock.close()
+        wait_until(lambda: len(run.program.front.callers) == 1)
+        tell(peer, binary.RELEASE, B, cause=41)
+        assert other.bye(B).headers["reason"] == "Q.850;cause=41"
+        other.sock.close()
+        wait_until(lambda: not len(run.program.front.callers))
+        tell(peer, binary.RELEASE, C, cause=16)
+        wait_until(lambda: run.program.front.undelivered)
+        assert Caller(run.port).bye(C).call_id == C  # on the next that opens
+
+
+def test_a_standing_call_outlives_its_connection_and_the_next_one_brings_its_release() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        tell(peer, binary.ANSWER, A, description=ANSWER)
+        caller.answer(A)
+        caller.invite(B)
+        set_up(peer, B)
+        peer.reset()
+        peer = desk.desk()
+        assert run.core.find(A) is not None  # no connection owns it
+        assert caller.answer(B).status == 503  # it may have run; there is no other way there
+        tell(peer, binary.RELEASE, A, cause=16)
+        assert caller.bye(A).call_id == A
+
+
+def test_a_refused_connection_proves_that_nothing_ran_and_needs_no_pause() -> None:
+    port = Listening()
+    port.sock.close()
+    with tandems(port) as (run, second, caller):
+        for n in range(1, 40):  # equal tandems are drawn: at some point the one that refuses is tried first
+            caller.invite(f"{n:016x}")
+            set_up(second, f"{n:016x}")
+            request = run.core.find(f"{n:016x}")
+            assert request is not None
+            if request.attempts == 2:
+                break
+        assert request is not None
+        assert (request.attempts, request.not_before, request.last[0]) == (2, 0, "no_connection")
+
+
+def test_what_is_queued_behind_a_stalled_peer_is_taken_back_at_a_drain() -> None:
+    desk, bus = Listening(receive_buffer=2048), BusStand()
+    with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
+        assert bus.accept() == 1
+        peer, caller = desk.desk(free=1000), Caller(run.port)
+        wait_until(lambda: run.core.module.groups[1].size > 0)
+        back: Any = run.core.backs["binary"]
+        calls, queued = [f"{n:016x}" for n in range(1, 40)], []
+        for call in calls:  # the peer reads nothing: at some point a set-up stays with us whole
+            before = len(run.core.by_call) + len(run.core.ended)
+            caller.invite(call, body=b"x" * 15000)
+            wait_until(lambda before=before: len(run.core.by_call) + len(run.core.ended) > before)  # type: ignore[misc]
+            stream = back.links[1].stream
+            queued = [c for c in calls if stream.unsent(c)]
+            if len(queued) >= 2:
+                break
+        assert len(queued) >= 2
+        bus.tell(news(2, target("d1", desk.address, 1, "terminating")))
+        for call in queued:
+            assert caller.answer(call).status == 503
+        started = [c for c in calls if run.core.find(c) is not None]
+        for call in started:  # what was begun is finished, and nothing follows it
+            set_up(peer, call)
+            tell(peer, binary.ANSWER, call)
+        tell(peer, binary.TEST, C)
+        following = peer.take()
+        assert following.kind == binary.TESTED and following.call == int(C, 16)
+
+
+def test_a_cancelled_set_up_behind_a_stalled_peer_never_leaves() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        caller = Caller(run.port)
+        wait_until(lambda: len(run.core.module.in_service) == 1)
+        back: Any = run.core.backs["binary"]
+        link = back.links[1]
+        wait_until(lambda: link.stream is not None and not link.stream.connecting)
+        link.stream.connecting = True  # as if the connection were still coming up
+        caller.invite(A)
+        wait_until(lambda: run.core.find(A) is not None and link.stream.unsent(A))
+        caller.send("CANCEL", A)
+        assert caller.answer(A).status == 487
+        assert not link.stream.unsent(A)
+        link.stream.connecting = False
+        peer = desk.desk()
+        caller.invite(B)
+        assert peer.take().call == int(B, 16)  # nothing of A was written before it
+
+
+def test_an_exchange_that_is_gone_cuts_what_stood_and_its_address_may_be_taken_over() -> None:
+    desk, bus = Listening(), BusStand()
+    with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
+        bus.accept()
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        tell(peer, binary.ANSWER, A)
+        caller.answer(A)
+        fresh = target("d2", desk.address, 1, boot_ms=int(time.time() * 1000) - 60_000)
+        bus.tell(news(2, target("d1", desk.address, 1, "terminated"), fresh))
+        assert caller.bye(A).headers["reason"] == "Q.850;cause=41"
+        successor = desk.desk()
+        assert peer.closed()
+        caller.invite(B)
+        set_up(successor, B)
+
+
+def test_the_bus_is_followed_over_cuts_and_gaps() -> None:
+    desk, bus = Listening(), BusStand()
+    with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
+        assert bus.accept() == 1
+        bus.tell(news(2, target("d1", desk.address, 1, "terminating")))
+        wait_until(lambda: run.core.directory.desks[1].told.state == "terminating")
+        bus.cut()
+        assert bus.accept() == 2
+        bus.tell(news(2, target("d1", desk.address, 1)))  # held already
+        bus.tell(news(5, target("d9", "127.0.0.1:1", 9)))  # a gap: asked for again, once
+        assert bus.accept() == 2
+        bus.tell(news(5, target("d1", desk.address, 1)))
+        wait_until(lambda: run.core.directory.desks[1].told.state == "in_service")
+        assert list(run.core.directory.desks) == [1]
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"INVITE sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"INVITE sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nSubject: check\r\n\r\n", 400),
+        (b"INVITE sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nContent-Length: 99999\r\n\r\n", 413),
+        (b"INVITE sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nX: " + b"y" * 17000, 413),
+        (b"FROB sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 FROB\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"INVITE sip:1@net SIP/2.0\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", 0),
+        (b"\x00\x01garbage\r\n\r\n", 0),
+    ],
+)
+def test_what_is_malformed_is_answered_or_drops_its_connection_only(raw: bytes, status: int) -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, good, bad = desk.desk(), Caller(run.port), Caller(run.port)
+        bad.sock.sendall(raw.replace(b"%s", A.encode()))
+        if status:
+            answer = bad.take()
+            assert (answer.status, answer.call_id) == (status, A)
+        else:
+            assert bad.closed()
+        good.invite(B)
+        set_up(peer, B)
+
+
+def test_an_unreadable_desk_message_drops_that_connection_only() -> None:
+    ports = [Listening(), Listening()]
+    with running(target("d1", ports[0].address, 1), target("d2", ports[1].address, 2)) as run:
+        bad, good, caller = ports[0].desk(), ports[1].desk(), Caller(run.port)
+        bad.sock.sendall(b"\x00\x01x")
+        assert bad.closed()
+        ports[0].desk()  # it comes back
+        caller.invite(A, dest=2)
+        set_up(good, A)
+
+
+def test_a_flood_of_connections_closes_the_idle_and_keeps_the_busy() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1), sockets=128 + 8) as run:
+        peer, busy = desk.desk(), Caller(run.port)
+        busy.invite(A)
+        set_up(peer, A)
+        idle = [Caller(run.port) for _ in range(20)]
+        assert idle[0].closed()
+        last = Caller(run.port)
+        last.send("OPTIONS", B)
+        assert last.take().status == 200
+        tell(peer, binary.ANSWER, A)
+        assert busy.answer(A).status == 200
+        assert len(run.program.front.callers) <= 8
+
+
+def test_running_out_of_descriptors_stops_no_call() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, busy = desk.desk(), Caller(run.port)
+        busy.invite(A)
+        set_up(peer, A)
+        fresh, fillers = socket.socket(), list[int]()
+        low, high = resource.getrlimit(resource.RLIMIT_NOFILE)
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))), high))
+            with suppress(OSError):
+                while True:
+                    fillers.append(os.dup(0))
+            fresh.connect(("127.0.0.1", run.port))  # waits in the backlog
+            wait_until(lambda: run.program.front.listener._paused)  # type: ignore[union-attr]
+            tell(peer, binary.ANSWER, A)
+            assert busy.answer(A).status == 200
+        finally:
+            for filler in fillers:
+                os.close(filler)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (low, high))
+        fresh.settimeout(20)
+        fresh.sendall(
+            b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
+        )
+        assert fresh.recv(100).startswith(b"SIP/2.0 200")
+
+
+def test_sigterm_finishes_what_was_taken_and_a_restart_remembers_nothing(tmp_path: Path) -> None:
+    desk, port = Listening(), Listening()
+    address = port.address
+    port.sock.close()
+    known = {"offset": 1, "batch": [news(1, target("d1", desk.address, 1), whole=True)]}
+    config = {"name": "n0", "seed": "ff", "bus": "127.0.0.1:9", "known": known, "settings": settings()}
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    environment = os.environ | {"PROXY_CONFIG": str(tmp_path / "config.json"), "PROXY_LISTEN": address}
+
+    def start() -> subprocess.Popen[bytes]:
+        return subprocess.Popen([sys.executable, "-B", "-m", "arrowrail"], env=environment)
+
+    def caller() -> Caller:
+        found: list[Caller] = []
+
+        def comes_up() -> bool:
+            try:
+                found.append(Caller(port.port))
+            except ConnectionRefusedError:
+                return False
+            return True
+
+        wait_until(comes_up)
+        return found[0]
+
+    process = start()
+    try:
+        first, peer = caller(), desk.desk()
+        first.invite(A)
+        set_up(peer, A)
+        process.send_signal(signal.SIGTERM)
+        second = caller()  # new connections and requests are still taken
+        second.invite(B)
+        set_up(peer, B)
+        tell(peer, binary.ANSWER, A)
+        tell(peer, binary.ANSWER, B)
+        assert first.answer(A).status == second.answer(B).status == 200
+        assert process.wait(20) == 0
+        process = start()
+        again, peer = caller(), desk.desk()
+        again.send("BYE", A)
+        assert again.answer(A, "BYE").status == 481
+        tell(peer, binary.RELEASE, B, cause=16)  # of a call that stood before the restart
+        assert again.bye(B).call_id == B
+    finally:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,361 @@
+"""The parsers and encoders: tables of cases, each fed whole and byte by byte."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import pytest
+
+from arrowrail.core import FAILED, REFUSED, Answer, Offer
+from arrowrail.state.deadlines import Deadlines
+from arrowrail.state.directory import Directory, Told
+from arrowrail.state.slots import SlotTable
+from arrowrail.wire import binary, bus, causes, etcd, isup, m3ua, sip
+from arrowrail.wire.binary import BinaryError, DeskMessage
+from arrowrail.wire.desk_back import read_release
+from arrowrail.wire.isup import Isup, IsupError, IsupType
+from arrowrail.wire.m3ua import Error, Kind, M3uaError, Message, ProtocolData, Tag
+from arrowrail.wire.sip_front import read_invite
+
+
+def both_ways(make: Callable[[], Callable[[bytes], Any]], data: bytes) -> list[Any]:
+    """All that a parser finds, which must not depend on how the bytes were split."""
+    whole = list(make()(data))
+    feed, split = make(), []
+    for at in range(len(data)):
+        split += list(feed(data[at : at + 1]))
+    assert repr(split) == repr(whole)
+    return whole
+
+
+def test_sip_messages_back_to_back() -> None:
+    data = (
+        b"\r\n\r\nINVITE sip:7f@net SIP/2.0\r\nVia: SIP/2.0/TCP a\r\nv: SIP/2.0/TCP b\r\ni: 9b1f\r\n"
+        b"CSeq: 1 INVITE\r\nSubject: voice\r\n more\r\nl: 4\r\n\r\nbody"
+        b"SIP/2.0 200 OK\r\nCall-ID: 9b1f\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
+    )
+    first, second = both_ways(lambda: sip.SipParser().feed, data)
+    assert (first.method, first.uri, first.call_id, first.body) == ("INVITE", "sip:7f@net", "9b1f", b"body")
+    assert first.vias == ["SIP/2.0/TCP a", "SIP/2.0/TCP b"] and first.headers["subject"] == "voice more"
+    assert (second.status, second.cseq_method) == (200, "BYE")
+
+
+@pytest.mark.parametrize(
+    ("head", "status", "fatal"),
+    [
+        (b"INVITE sip:1@net SIP/2.0\r\nCSeq: 1 INVITE\r\n", 400, True),
+        (b"INVITE sip:1@net SIP/2.0\r\nContent-Length: -1\r\n", 400, True),
+        (b"INVITE sip:1@net SIP/2.0\r\nContent-Length: 1\r\nContent-Length: 2\r\n", 400, True),
+        (b"INVITE sip:1@net SIP/2.0\r\nContent-Length: 16384\r\n", 413, True),
+        (b"INVITE sip:1@net SIP/2.0\r\nContent-Length: 0\r\nno colon\r\n", 400, False),
+        (b"INVITE sip:1@net HTTP/1.1\r\nContent-Length: 0\r\n", 400, False),
+        (b"INVITE sip:\xff@net SIP/2.0\r\nContent-Length: 0\r\n", 400, False),
+    ],
+)
+def test_sip_malformed(head: bytes, status: int, fatal: bool) -> None:
+    (found,) = both_ways(lambda: sip.SipParser().feed, head + b"\r\n")
+    assert isinstance(found, sip.Malformed) and (found.status, found.fatal) == (status, fatal)
+
+
+INVITE = {
+    "call-id": "9b1f03aa5c7e2d41",
+    "subject": "voice",
+    "x-patience": "1500",
+    "x-facts": "dest:2;width:3",
+}
+
+
+@pytest.mark.parametrize(
+    ("changes", "uri", "expected"),
+    [
+        ({}, "sip:7f@net", Offer("9b1f03aa5c7e2d41", "voice", "7f", 0x7F, 2, 3, 1_500_000_001, b"x")),
+        (
+            {"x-facts": "dest:1;via:4;transit:1;again:1", "x-retry": "1"}, "sip:0a@net",
+            Offer("9b1f03aa5c7e2d41", "voice", "0a", 10, 1, 1, 1_500_000_001, b"x", True, True, True, 4),
+        ),
+        ({"x-facts": "width:1"}, "sip:7f@net", None),
+        ({"x-facts": "dest:x"}, "sip:7f@net", None),
+        ({"x-patience": "-1"}, "sip:7f@net", None),
+        ({"subject": None}, "sip:7f@net", None),
+        ({"call-id": "xyz"}, "sip:7f@net", None),
+        ({}, "sip:nobody@net", None),
+    ],
+)  # fmt: skip
+def test_invite_fields(changes: dict[str, Any], uri: str, expected: Offer | None) -> None:
+    headers = {k: v for k, v in (INVITE | changes).items() if v is not None}
+    message = sip.SipMessage("INVITE", uri, headers=headers, body=b"x")
+    if expected is not None:
+        assert read_invite(message, 1) == expected
+    else:
+        with pytest.raises(ValueError):
+            read_invite(message, 1)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        DeskMessage(binary.SET_UP, 5, class_name="voice", number="7f", wait_ms=9, description=b"\0\xff"),
+        DeskMessage(binary.ANSWER, 2**64 - 1, description=b"d" * 16000),
+        DeskMessage(binary.RELEASE, 1, cause=34, note="processor_full", told_wait_ms=1500),
+        DeskMessage(binary.GROUP, 0, free=3.0, size=7.0),
+        DeskMessage(binary.TESTED, 0, cause=1),
+        DeskMessage(binary.RELEASE_HEARD, 8),
+    ],
+)
+def test_binary_round_trip(message: DeskMessage) -> None:
+    data = binary.encode(message)
+    assert both_ways(lambda: binary.BinaryParser().feed, data * 2) == [message, message]
+    assert int.from_bytes(data[:2], "big") == len(data) - 2
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        "0008 0c 00000000000000",  # shorter than a head
+        "4001 0c",  # over the limit
+        "0009 0c 0000000000000001",  # a release without its cause
+        "000b 09 0000000000000001 ae00",  # half a parameter
+        "000d 09 0000000000000001 ae0005 41",  # runs past the end
+        "000d 01 0000000000000001 840001 41",  # a wait that is no number
+    ],
+)
+def test_binary_malformed(raw: str) -> None:
+    with pytest.raises(BinaryError):
+        binary.BinaryParser().feed(bytes.fromhex(raw.replace(" ", "")))
+
+
+@pytest.mark.parametrize(
+    ("cause", "note", "wait", "outcome", "number", "stood"),
+    [
+        (34, "group_full", 0, "turned_away", 1, "served"),
+        (34, "tandem_refused", 0, "turned_away", 2, "served"),
+        (34, "destination_full", 0, "turned_away", 18, "served"),
+        (34, "processor_full", 250, "turned_away", 3 + 16 * 250, "served"),
+        (17, "user_busy", 0, "server_error", 4, "served"),
+        (47, "", 0, "server_error", 0, "served"),
+        (102, "group_full", 0, "not_sent", 1, "served"),
+        (41, "", 0, "connection_lost", 0, "connection_lost"),
+        (16, "", 0, "server_error", 0, "served"),
+    ],
+)
+def test_binary_releases(cause: int, note: str, wait: int, outcome: str, number: int, stood: str) -> None:
+    ended = read_release(DeskMessage(binary.RELEASE, 1, cause=cause, note=note, told_wait_ms=wait))
+    assert (ended.outcome, ended.cause, ended.stood) == (outcome, number, stood)
+
+
+EVENT = (
+    b'{"offset":4,"topology":{"all":true,"targets":'
+    b'[{"uid":"u","endpoint":"a:1","pod_group":2,"state":"in_service","boot_ms":3}]}}'
+)
+TOLD = Told("u", "a:1", "", 2, "in_service", 3_000_000)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n: \n\nid: 4\r\ndata: " + EVENT + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"%x\r\ndata:%s\n\n\r\n" % (len(EVENT) + 7, EVENT),
+    ],
+)
+def test_bus_stream(answer: bytes) -> None:
+    (event,) = both_ways(lambda: bus.StreamParser().feed, answer)
+    assert event == bus.BusEvent(4, True, (TOLD,))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno",
+        b"no http at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\ndata: {\n\n",
+        b"HTTP/1.1 200 OK\r\n\r\ndata: []\n\n",
+        b'HTTP/1.1 200 OK\r\n\r\ndata: {"offset":1,"topology":{"targets":[{"uid":"u"}]}}\n\n',
+        b"HTTP/1.1 200 OK\r\n\r\ndata: " + b"x" * (bus.MAX_EVENT + 1),
+    ],
+)
+def test_bus_unreadable(answer: bytes) -> None:
+    with pytest.raises(bus.BusError):
+        bus.StreamParser().feed(answer)
+
+
+LABEL = ProtocolData(1, 2, b"\x05\x00\x10\x00", sls=3)
+
+
+def test_m3ua_header_and_padding() -> None:
+    data = m3ua.encode(Message(Kind.BEAT, {Tag.HEARTBEAT: b"12345"}))
+    assert data.hex() == "0100030300000014" + "00090009" + "3132333435000000"
+    full = data + m3ua.data(LABEL, 100, 7)
+    beat, carried = both_ways(lambda: m3ua.M3uaParser().feed, full)
+    assert beat.parameters == {Tag.HEARTBEAT: b"12345"}
+    assert (carried.number(Tag.ROUTING_CONTEXT), carried.number(Tag.NETWORK_APPEARANCE)) == (100, 7)
+    assert m3ua.read_data(carried) == LABEL
+
+
+@pytest.mark.parametrize(
+    ("raw", "code", "fatal"),
+    [
+        ("0200030300000008", Error.INVALID_VERSION, True),
+        ("0100030300000007", Error.PROTOCOL_ERROR, True),
+        ("0100030300010000", Error.PROTOCOL_ERROR, True),
+        ("0100630100000008", Error.UNSUPPORTED_CLASS, False),
+        ("0100036300000008", Error.UNSUPPORTED_TYPE, False),
+        ("010003030000000c00090003", Error.PARAMETER_FIELD, False),
+        ("010003030000000c00090010", Error.PARAMETER_FIELD, False),
+    ],
+)
+def test_m3ua_malformed(raw: str, code: Error, fatal: bool) -> None:
+    follow = m3ua.encode(Message(Kind.ASPUP))
+    found = m3ua.M3uaParser().feed(bytes.fromhex(raw) + follow)
+    assert isinstance(found[0], M3uaError) and (found[0].code, found[0].fatal) == (code, fatal)
+    assert len(found) == (1 if fatal else 2)  # the next message is read where its start is known
+
+
+@pytest.mark.parametrize(
+    ("message", "raw"),
+    [
+        (Isup(5, IsupType.IAM, 0x0B, 3, "09921"), "0500010060010b03020005831090290" + "1"),
+        (Isup(0xFFF, IsupType.ANM, 0, 0, uui=b"ab"), "ff0f09012003046162" + "00"),
+        (Isup(1, IsupType.ACM, 0, 0), "010006161400"),
+        (Isup(2, IsupType.REL, 0, 0, cause=34, congestion=1), "02000c02040280a227010100"),
+        (Isup(3, IsupType.RLC, 0, 0), "03001000"),
+        (Isup(4, IsupType.IAM, 10, 0, "ABCDE0", uui=b"x" * 254), ""),
+    ],
+)
+def test_isup_round_trip(message: Isup, raw: str) -> None:
+    data = isup.encode(message)
+    assert isup.decode(data) == message
+    if raw:
+        assert data.hex() == raw
+
+
+@pytest.mark.parametrize(
+    "raw", ["0500", "05000100", "0500010060010b0300", "0500010060010b030209", "02000c020001", "0300100120ff"]
+)
+def test_isup_malformed(raw: str) -> None:
+    with pytest.raises(IsupError):
+        isup.decode(bytes.fromhex(raw))
+
+
+def test_isup_passes_over_what_is_no_basic_call_and_carries_no_half_description() -> None:
+    assert isup.decode(bytes.fromhex("010012")) is None
+    with pytest.raises(IsupError):
+        isup.encode(Isup(1, IsupType.ANM, uui=b"x" * 255))
+
+
+@pytest.mark.parametrize(
+    ("answer", "cause"),
+    [
+        (Answer(REFUSED), 34),
+        (Answer(REFUSED, outcome="turned_away", cause=1), 34),
+        (Answer(REFUSED, outcome="turned_away", cause=3 + 16 * 700), 42),
+        (Answer(REFUSED, outcome="turned_away", cause=18), 42),
+        (Answer(REFUSED, outcome="server_error", cause=4), 17),
+        (Answer(REFUSED, outcome="no_connection"), 27),
+        (Answer(REFUSED, outcome="connection_lost"), 38),
+        (Answer(FAILED, outcome="no_answer"), 102),
+        (Answer(FAILED, outcome="turned_away", cause=1), 41),
+    ],
+)
+def test_causes_of_answers(answer: Answer, cause: int) -> None:
+    assert causes.cause_of(answer) == cause
+
+
+def test_no_cause_tells_a_client_both_refused_and_failed() -> None:
+    failed = {*causes.FAILED_CAUSES.values(), causes.FAILED_OTHERWISE}
+    assert failed.isdisjoint(causes.REFUSED_CAUSES.values())
+
+
+@pytest.mark.parametrize(
+    ("cause", "outcome", "number", "stood"),
+    [
+        (34, "turned_away", 1, "connection_lost"),
+        (42, "turned_away", 3, "connection_lost"),
+        (17, "server_error", 4, "connection_lost"),
+        (41, "connection_lost", 0, "connection_lost"),
+        (16, "server_error", 0, "served"),
+        (99, "server_error", 0, "connection_lost"),
+    ],
+)
+def test_causes_from_desk_exchanges(cause: int, outcome: str, number: int, stood: str) -> None:
+    ended = causes.ended_by(cause)
+    assert (ended.outcome, ended.cause, ended.stood) == (outcome, number, stood)
+
+
+def kv(key: str, value: Any) -> dict[str, str]:
+    return {
+        "key": base64.b64encode(key.encode()).decode(),
+        "value": base64.b64encode(orjson.dumps(value)).decode(),
+    }
+
+
+ENTRY = {"endpoint": "a:1", "pod_group": 2, "state": "in_service", "boot_ms": 3}
+
+
+def test_etcd_range_and_watch() -> None:
+    body = orjson.dumps(
+        {"header": {"revision": "7"}, "kvs": [kv("/d/u", ENTRY), kv("/d/bad", {"state": "?"})]}
+    )
+    assert etcd.read_range(body) == etcd.News(7, (TOLD,))
+    events = [{"kv": kv("/d/u", ENTRY)}, {"type": "DELETE", "kv": {"key": kv("/d/w", 0)["key"]}}]
+    line = orjson.dumps({"result": {"header": {"revision": "9"}, "events": events}}) + b"\n"
+    created = orjson.dumps({"result": {"header": {"revision": "7"}, "created": True}}) + b"\n"
+    found = both_ways(lambda: etcd.WatchParser("/d/").feed, created + line)
+    assert found[0] == etcd.News(7, ())
+    assert found[1].lines == (TOLD, Told("w", "", "", -1, "terminated", 0))
+
+
+@pytest.mark.parametrize(
+    ("line", "failure"),
+    [
+        ({"result": {"canceled": True, "compact_revision": "9"}}, etcd.Compacted),
+        ({"result": {"header": {"revision": "1"}, "canceled": True}}, etcd.Compacted),
+        ({"error": {"message": "no"}}, etcd.EtcdError),
+        ({"result": {}}, etcd.EtcdError),
+    ],
+)
+def test_etcd_watch_ends(line: dict[str, Any], failure: type[Exception]) -> None:
+    with pytest.raises(failure):
+        etcd.WatchParser("/d/").feed(orjson.dumps(line) + b"\n")
+
+
+@pytest.mark.parametrize(("prefix", "end"), [(b"/d/", b"/d0"), (b"a\xff", b"b"), (b"\xff", b"\0")])
+def test_etcd_range_end(prefix: bytes, end: bytes) -> None:
+    assert etcd.range_end(prefix) == end
+
+
+def test_a_slot_used_again_has_another_handle() -> None:
+    table: SlotTable[str] = SlotTable()
+    first = table.add("a")
+    assert table.remove(first) == "a" and table.remove(first) is None
+    second = table.add("b")
+    assert (table.get(first), table.get(second), len(table), list(table)) == (None, "b", 1, ["b"])
+
+
+def test_deadlines_run_in_order_and_cancelled_ones_do_not() -> None:
+    deadlines, ran = Deadlines(), list[int]()
+    for when in (30, 10, 20, 10):
+        deadlines.at(when, lambda when=when: ran.append(when))  # type: ignore[misc]
+    deadlines.at(15, lambda: ran.append(15)).cancel()
+
+    def again() -> None:
+        deadlines.at(5, lambda: ran.append(5))
+
+    deadlines.at(10, again)  # set while others run: for the next turn, however early it is
+    deadlines.now = 20
+    deadlines.run_due()
+    assert (ran, deadlines.next_at()) == ([10, 10, 20], 5)
+
+
+def test_the_directory_tells_changes_only_and_each_source_its_own() -> None:
+    directory = Directory()
+    other = Told("v", "a:2", "", 3, "in_service", 0)
+    assert [d.office for d in directory.apply(1, "bus", True, [TOLD])] == [1]
+    assert directory.apply(2, "bus", False, [TOLD]) == []
+    assert [d.office for d in directory.apply(3, "etcd", True, [other])] == [2]
+    (gone,) = directory.apply(4, "bus", True, [])
+    assert (gone.office, gone.told.state, gone.told.exchange, gone.drain_told_ns) == (1, "terminated", 2, 4)
+    assert directory.apply(5, "bus", False, [Told("never", "", "", -1, "terminated", 0)]) == []
