--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from arrowrail.wire import binary
+from arrowrail.wire import binary, bus_client
 from tests.live import (
     SDP,
     BusStand,
@@ -323,6 +323,30 @@
         assert list(run.core.directory.desks) == [1]
 
 
+def test_a_silent_bus_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(bus_client, "SILENCE_NS", 100_000_000)
+    bus = BusStand()
+    with running(bus=bus.port.address):
+        assert bus.accept() == 1
+        assert bus.accept() == 1
+
+
+def test_a_machine_that_vanished_fails_its_set_ups_after_the_connect_timeout() -> None:
+    vanished, fillers = socket.create_server(("127.0.0.1", 0), backlog=0), list[socket.socket]()
+    address = vanished.getsockname()
+    for _ in range(4):  # a full backlog answers no more than a machine that is gone
+        fillers.append(socket.socket())
+        fillers[-1].setblocking(False)
+        fillers[-1].connect_ex(address)
+    with running(target("d1", f"127.0.0.1:{address[1]}", 1)) as run:
+        caller = Caller(run.port)
+        caller.invite(A, patience=5000)
+        wait_until(lambda: run.core.find(A) is not None)
+        request = run.core.find(A)
+        assert caller.answer(A).status == 503
+        assert request is not None and request.last[0] == "no_connection"
+
+
 @pytest.mark.parametrize(
     ("raw", "status"),
     [
