Let tests look at the core only between two turns of its loop

Seen in one of six parallel test runs: 'deque mutated during iteration' in a wait that walked a connection's queue from the test's thread. The looks now run in the loop's thread (tests/live.py, Running.look).

--- a/tests/live.py
+++ b/tests/live.py
@@ -7,6 +7,7 @@
 
 import copy
 import json
+import queue
 import socket
 import threading
 import time
@@ -163,7 +164,8 @@
         self.core = self.program.core
         self._end = False
         self._inside, self._outside = socket.socketpair()
-        self.program.loop.watch(self._inside, 1, lambda mask: None)
+        self.program.loop.watch(self._inside, 1, self._woken)
+        self._asked: queue.SimpleQueue[tuple[Callable[[], Any], queue.SimpleQueue[Any]]] = queue.SimpleQueue()
         self.failure: BaseException | None = None
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.program.start()
@@ -178,9 +180,25 @@
         try:
             while not self._end:
                 self.program.turn()
+                while not self._asked.empty():
+                    look, answer = self._asked.get()
+                    answer.put(look())
         except BaseException as failure:
             self.failure = failure
 
+    def _woken(self, _mask: int) -> None:
+        self._inside.recv(64)
+
+    def look(self, look: Callable[[], Any]) -> Any:
+        """Run it between two turns, in the loop's thread: nothing changes while it looks."""
+        answer: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self._asked.put((look, answer))
+        self._outside.send(b".")
+        return answer.get(timeout=LIMIT_S)
+
+    def until(self, holds: Callable[[], Any]) -> None:
+        wait_until(lambda: self.look(holds))
+
     def stop(self) -> None:
         self._end = True
         self._outside.send(b".")
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -25,7 +25,6 @@
     running,
     target,
     tell,
-    wait_until,
 )  # fmt: skip
 
 IAM, ACM, ANM, REL, RLC = IsupType.IAM, IsupType.ACM, IsupType.ANM, IsupType.REL, IsupType.RLC
@@ -104,7 +103,7 @@
     port = Listening()
     with running(operator=configured(behind("m1", port, 1, DESK), deadline_ms=deadline_ms)) as run:
         peer = desk(port)
-        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        run.until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
         yield run, client(run), peer
 
 
@@ -130,7 +129,7 @@
         assert peer.isup(REL, again.cic).cause == 16
         assert run.core.module.groups[1].free == 9  # taken until it is confirmed
         peer.send(again.cic, RLC)
-        wait_until(lambda: run.core.module.groups[1].free == 10)
+        run.until(lambda: run.core.module.groups[1].free == 10)
 
 
 @pytest.mark.parametrize("over_sip", [False, True])
@@ -167,7 +166,7 @@
         assert peer.isup(REL, out.cic).cause == 16
         peer.send(out.cic, ANM)  # crossed: the circuit is being cleared already
         peer.send(out.cic, RLC)
-        wait_until(lambda: not run.core.requests and run.core.module.groups[1].free == 10)
+        run.until(lambda: not run.core.requests and run.core.module.groups[1].free == 10)
 
 
 @pytest.mark.parametrize(("called", "cause"), [("9", 1), ("2", 34)])
@@ -189,7 +188,7 @@
         second = peer.isup(IAM)
         caller.sock.close()
         assert peer.isup(REL, second.cic).cause == 16
-        wait_until(lambda: not run.core.requests)
+        run.until(lambda: not run.core.requests)
 
 
 def test_a_standing_call_outlives_its_client_association() -> None:
@@ -200,9 +199,9 @@
         caller.isup(ANM, 1)
         caller.reset()
         front: Any = run.core.fronts[0]
-        wait_until(lambda: len(front.links) == 0)
+        run.until(lambda: len(front.links) == 0)
         peer.send(out.cic, REL, cause=16)
-        wait_until(lambda: not run.core.requests)
+        run.until(lambda: not run.core.requests)
         assert client(run).isup(REL, 1).cause == 16
 
 
@@ -211,7 +210,7 @@
     described = configured(behind("m1", m3ua_port, 2, DESK))
     with running(target("d1", sip_port.address, 1), operator=described) as run:
         binary_peer, m3ua_peer = sip_port.desk(), desk(m3ua_port)
-        wait_until(lambda: len([g for g in run.core.module.groups.values() if g.size > 0]) == 2)
+        run.until(lambda: len([g for g in run.core.module.groups.values() if g.size > 0]) == 2)
         caller, sip = client(run), Caller(run.port)
         caller.send(1, IAM, called="12", uui=b"o")
         sent = binary_peer.take(lambda m: m.kind == binary.SET_UP)
@@ -233,13 +232,13 @@
         bus.accept()
         bus.tell(news(2, line))
         peer, caller = desk(port), Placing(run, over_sip)
-        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        run.until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
         caller.place(1)
         out = peer.isup(IAM)
         back: Any = run.core.backs["m3ua"]
         stream = back.trunks[1].link.stream
         beats = 0
-        while not stream._out:  # its echoes fill the way to the peer
+        while run.look(lambda: stream.flushed):  # its echoes fill the way to the peer
             peer.say(Kind.BEAT, HEARTBEAT=b"x" * 8000)
             beats += 1
             assert beats < 1000
@@ -247,7 +246,7 @@
         peer.sock.sendall(half[:20])
         for cic in (2, 3, 4):
             caller.place(cic)
-        wait_until(lambda: len([u for u in list(back.trunks[1].uses.values()) if stream.unsent(u.call)]) == 3)
+        run.until(lambda: len([u for u in back.trunks[1].uses.values() if stream.unsent(u.call)]) == 3)
         bus.tell(news(3, line | {"state": "terminating"}))
         ended = sorted(caller.answer() for _ in range(3))  # at once: nothing had left
         assert ended == [(n, "refused") for n in (2, 3, 4)]
@@ -273,7 +272,7 @@
         bus.accept()
         bus.tell(news(2, old_line))
         old, caller = desk(ports[0]), Placing(run, over_sip)
-        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        run.until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
         for cic in (1, 2, 3):
             caller.place(cic)
         outs = [old.isup(IAM).cic for _ in range(3)]
@@ -281,7 +280,7 @@
         assert caller.answer()[1] == "stands"  # one stands, two are out
         bus.tell(news(3, old_line | {"state": "terminating"}, new_line))
         new = desk(ports[1], OTHER)
-        wait_until(lambda: run.core.module.in_service[1].entry.office == 2)
+        run.until(lambda: run.core.module.in_service[1].entry.office == 2)
         began = time.monotonic()
         old.reset()
         first, second = new.isup(IAM), new.isup(IAM)
@@ -306,7 +305,7 @@
     port = Listening()
     with running(operator=configured(behind("m1", port, 1, DESK))) as run:
         peer = desk(port)
-        wait_until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
+        run.until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size == 10)
         caller = client(run)
         caller.send(1, IAM, called="15")
         out = peer.isup(IAM)
@@ -315,7 +314,7 @@
         peer = desk(port)
         assert peer.isup(REL, out.cic).cause == 16
         peer.send(out.cic, RLC)
-        wait_until(lambda: run.core.module.groups[1].free == 10)
+        run.until(lambda: run.core.module.groups[1].free == 10)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -92,7 +92,7 @@
     with running(*(target(f"d{n}", a, n) for n, a in enumerate(addresses, 1))) as run:
         ports[0].desk(free=0)
         second = ports[1].desk()
-        wait_until(lambda: len([g for g in run.core.module.groups.values() if g.size > 0]) >= 2)
+        run.until(lambda: len([g for g in run.core.module.groups.values() if g.size > 0]) >= 2)
         yield run, second, Caller(run.port)
 
 
@@ -100,9 +100,9 @@
     port = Listening()
     with tandems(port) as (run, second, caller):
         peers = {2: second, 3: port.desk()}
-        wait_until(lambda: run.core.module.groups[3].size > 0)
+        run.until(lambda: run.core.module.groups[3].size > 0)
         caller.invite(A)
-        wait_until(lambda: run.core.find(A) is not None and run.core.find(A).out is not None)  # type: ignore[union-attr]
+        run.until(lambda: run.core.find(A) is not None and run.core.find(A).out is not None)  # type: ignore[union-attr]
         request = run.core.find(A)
         assert request is not None and request.out is not None
         first = request.out.desk.office
@@ -155,7 +155,7 @@
         set_up(peer, A)
         caller.sock.close()
         assert release(peer, A).cause == 16
-        wait_until(lambda: not run.core.unanswered)
+        run.until(lambda: not run.core.unanswered)
 
 
 def test_a_standing_call_is_released_on_any_connection() -> None:
@@ -174,13 +174,13 @@
         other.send("BYE", "00000000000000ff")
         assert other.answer("00000000000000ff", "BYE").status == 481
         first.sock.close()
-        wait_until(lambda: len(run.program.front.callers) == 1)
+        run.until(lambda: len(run.program.front.callers) == 1)
         tell(peer, binary.RELEASE, B, cause=41)
         assert other.bye(B).headers["reason"] == "Q.850;cause=41"
         other.sock.close()
-        wait_until(lambda: not len(run.program.front.callers))
+        run.until(lambda: not len(run.program.front.callers))
         tell(peer, binary.RELEASE, C, cause=16)
-        wait_until(lambda: run.program.front.releasing)
+        run.until(lambda: run.program.front.releasing)
         third = Caller(run.port)
         assert third.bye(C).call_id == C  # on the next that opens
         third.sock.close()  # before it confirmed: the release may have crossed the close
@@ -216,7 +216,7 @@
         desk.sock.close()
         peer.reset()
         back: Any = run.core.backs["binary"]
-        wait_until(lambda: back.links[1].stream is None)
+        run.until(lambda: back.links[1].stream is None)
         caller.send("BYE", A)
         assert caller.answer(A, "BYE").status == 200
         again = socket.create_server(("127.0.0.1", desk.port))
@@ -245,15 +245,14 @@
     with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
         assert bus.accept() == 1
         peer, caller = desk.desk(free=1000), Caller(run.port)
-        wait_until(lambda: run.core.module.groups[1].size > 0)
+        run.until(lambda: run.core.module.groups[1].size > 0)
         back: Any = run.core.backs["binary"]
         calls, queued = [f"{n:016x}" for n in range(1, 40)], []
         for call in calls:  # the peer reads nothing: at some point a set-up stays with us whole
             before = len(run.core.by_call) + len(run.core.ended)
             caller.invite(call, body=b"x" * 15000)
-            wait_until(lambda before=before: len(run.core.by_call) + len(run.core.ended) > before)  # type: ignore[misc]
-            stream = back.links[1].stream
-            queued = [c for c in calls if stream.unsent(c)]
+            run.until(lambda before=before: len(run.core.by_call) + len(run.core.ended) > before)  # type: ignore[misc]
+            queued = run.look(lambda: [c for c in calls if back.links[1].stream.unsent(c)])
             if len(queued) >= 2:
                 break
         assert len(queued) >= 2
@@ -273,13 +272,13 @@
     desk = Listening()
     with running(target("d1", desk.address, 1)) as run:
         caller = Caller(run.port)
-        wait_until(lambda: len(run.core.module.in_service) == 1)
+        run.until(lambda: len(run.core.module.in_service) == 1)
         back: Any = run.core.backs["binary"]
         link = back.links[1]
-        wait_until(lambda: link.stream is not None and not link.stream.connecting)
+        run.until(lambda: link.stream is not None and not link.stream.connecting)
         link.stream.connecting = True  # as if the connection were still coming up
         caller.invite(A)
-        wait_until(lambda: run.core.find(A) is not None and link.stream.unsent(A))
+        run.until(lambda: run.core.find(A) is not None and link.stream.unsent(A))
         caller.send("CANCEL", A)
         assert caller.answer(A).status == 487
         assert not link.stream.unsent(A)
@@ -312,14 +311,14 @@
     with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
         assert bus.accept() == 1
         bus.tell(news(2, target("d1", desk.address, 1, "terminating")))
-        wait_until(lambda: run.core.directory.desks[1].told.state == "terminating")
+        run.until(lambda: run.core.directory.desks[1].told.state == "terminating")
         bus.cut()
         assert bus.accept() == 2
         bus.tell(news(2, target("d1", desk.address, 1)))  # held already
         bus.tell(news(5, target("d9", "127.0.0.1:1", 9)))  # a gap: asked for again, once
         assert bus.accept() == 2
         bus.tell(news(5, target("d1", desk.address, 1)))
-        wait_until(lambda: run.core.directory.desks[1].told.state == "in_service")
+        run.until(lambda: run.core.directory.desks[1].told.state == "in_service")
         assert list(run.core.directory.desks) == [1]
 
 
@@ -341,7 +340,7 @@
     with running(target("d1", f"127.0.0.1:{address[1]}", 1)) as run:
         caller = Caller(run.port)
         caller.invite(A, patience=5000)
-        wait_until(lambda: run.core.find(A) is not None)
+        run.until(lambda: run.core.find(A) is not None)
         request = run.core.find(A)
         assert caller.answer(A).status == 503
         assert request is not None and request.last[0] == "no_connection"
@@ -414,7 +413,7 @@
                 while True:
                     fillers.append(os.dup(0))
             fresh.connect(("127.0.0.1", run.port))  # waits in the backlog
-            wait_until(lambda: run.program.front.listener._paused)  # type: ignore[union-attr]
+            run.until(lambda: run.program.front.listener._paused)  # type: ignore[union-attr]
             tell(peer, binary.ANSWER, A)
             assert busy.answer(A).status == 200
         finally:
