Give an early BYE its 487, and let no unreadable list entry stall the bus

Found by reading against the protocol: a BYE before the answer gave the set-up up but left its INVITE without a final answer (sip_front.message); one entry of the list that could not be read made event_of fail, the stream was cut, and the same event was asked for again without end.

--- a/arrowrail/wire/bus.py
+++ b/arrowrail/wire/bus.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import orjson
+from loguru import logger
 
 from arrowrail.state.directory import STATES, Told
 from arrowrail.wire.http import BodyParser, HttpError
@@ -86,12 +87,24 @@
     """One event, off the stream or from ``known``; other kinds than the list's count as empty news."""
     try:
         topology = value.get("topology") or {}
-        lines = tuple(told_of(line) for line in topology.get("targets") or ())
-        return BusEvent(int(value["offset"]), bool(topology.get("all")), lines)
+        targets = topology.get("targets") or ()
+        lines = tuple(line for line in map(_line, targets) if line is not None)
+        # What could not be read may still be there: a whole list with a hole ends nothing.
+        whole = bool(topology.get("all")) and len(lines) == len(targets)
+        return BusEvent(int(value["offset"]), whole, lines)
     except (AttributeError, KeyError, TypeError, ValueError) as wrong:
         raise BusError(f"an event that makes no sense: {wrong!r}") from wrong
 
 
+def _line(line: Any) -> Told | None:
+    """Guards against one entry that makes no sense being asked for again for ever, and all behind it lost."""
+    try:
+        return told_of(line)
+    except (AttributeError, KeyError, TypeError, ValueError) as wrong:
+        logger.warning("event bus: an entry that makes no sense: {!r}", wrong)
+        return None
+
+
 def told_of(line: Any) -> Told:
     state = str(line["state"])
     if state not in STATES:
--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip_front.py
@@ -161,17 +161,21 @@
             self._invite(caller, message)
         elif message.method == "CANCEL":
             self._cancel(caller, message)
+        elif message.method == "BYE" and self._waits(message.call_id):
+            self._cancel(caller, message)  # released before it stood: given up
         elif message.method == "BYE":
             known = self.core.caller_released(message.call_id) or message.call_id in self.core.ended
             self.dialogs.pop(message.call_id, None)
-            for other in self.callers:
-                other.open_calls.discard(message.call_id)
             caller.stream.send(sip.response(200 if known else 481, message))
         elif message.method == "OPTIONS":
             caller.stream.send(sip.response(200 if self.core.listed else 503, message))
         else:
             caller.stream.send(sip.response(405, message))
 
+    def _waits(self, call: str) -> bool:
+        dialog = self.dialogs.get(call)
+        return dialog is not None and not dialog.standing
+
     def _invite(self, caller: Caller, message: sip.SipMessage) -> None:
         try:
             offer = read_invite(message, self.loop.now)
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -147,6 +147,17 @@
         assert release(peer, B).cause == 16 and not run.core.requests
 
 
+def test_a_release_before_the_answer_gives_the_set_up_up() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        caller.send("BYE", A)
+        assert caller.answer(A, "BYE").status == 200 and caller.answer(A).status == 487
+        assert release(peer, A).cause == 16
+
+
 def test_a_caller_that_closes_gives_its_attempts_up() -> None:
     desk = Listening()
     with running(target("d1", desk.address, 1)) as run:
