Take circuit resets (RSC) on both M3UA sides and reject calls a desk exchange begins

A processor that was swapped in resets its circuits; until now such a message was passed over and the call on it stood until its own end. An IAM from a desk exchange was left without an answer; it is now released with 29.

--- a/arrowrail/wire/isup.py
+++ b/arrowrail/wire/isup.py
@@ -1,4 +1,4 @@
-"""ISUP (ITU-T Q.763) messages of a basic call: IAM, ACM, ANM, REL, RLC.  Bytes only.
+"""ISUP (ITU-T Q.763) messages of a basic call: IAM, ACM, ANM, REL, RLC, and RSC.  Bytes only.
 
 The caller's description travels as user-to-user information in the IAM, the answering side's in the ANM.
 """
@@ -23,6 +23,7 @@
     ANM = 0x09
     REL = 0x0C
     RLC = 0x10
+    RSC = 0x12
 
 
 class IsupError(Exception):
@@ -41,7 +42,7 @@
     uui: bytes = b""  # user-to-user information (IAM, ANM)
 
 
-FIXED = {IsupType.IAM: 5, IsupType.ACM: 2, IsupType.ANM: 0, IsupType.REL: 0, IsupType.RLC: 0}
+FIXED = {IsupType.IAM: 5, IsupType.ACM: 2, IsupType.ANM: 0, IsupType.REL: 0, IsupType.RLC: 0, IsupType.RSC: 0}
 VARIABLE = {IsupType.IAM: 1, IsupType.REL: 1}
 
 
@@ -126,6 +127,8 @@
         return head + _parts(_write_number(m.called), optional)
     if m.kind == IsupType.REL:
         return head + _parts(bytes((0x80, 0x80 | m.cause)), optional)
+    if m.kind == IsupType.RSC:
+        return head  # it has no parameters, not even a pointer
     if m.kind == IsupType.ACM:
         head += bytes((0x16, 0x14))  # charge, subscriber free, ordinary
     return head + bytes((1 if optional else 0,)) + optional
--- a/arrowrail/wire/m3ua_back.py
+++ b/arrowrail/wire/m3ua_back.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from arrowrail.core import Core, Offer
+from arrowrail.core import Q850_CUT, Core, Offer
 from arrowrail.run.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
@@ -22,6 +22,7 @@
 from arrowrail.wire.stream import connect
 
 NO_CIRCUIT = 1  # the module's cause
+FACILITY_REJECTED = 29  # Q.850
 
 
 @dataclass(slots=True)
@@ -182,18 +183,23 @@
 
     def isup(self, link: Association, label: ProtocolData, m: Isup) -> None:
         core, use = self.back.core, self.uses.get(m.cic)
-        if m.kind == IsupType.REL:
+        if m.kind in (IsupType.REL, IsupType.RSC):
             link.send_isup(label.opc, Isup(m.cic, IsupType.RLC))
+        elif m.kind == IsupType.IAM and use is None:
+            # Calls come in over the front only; one that begins here is told so, not left to ring.
+            link.send_isup(label.opc, Isup(m.cic, IsupType.REL, cause=FACILITY_REJECTED))
         if use is None or label.opc != self.desk.told.point_code:
             return
         if m.kind == IsupType.ANM and not use.clearing:
             use.answered = True
             core.desk_answered(self.desk, use.call, m.uui)
-        elif m.kind == IsupType.REL:
+        elif m.kind in (IsupType.REL, IsupType.RSC):
+            # A processor that has started anew resets its circuits: what was on them is cut.
+            cause = m.cause if m.kind == IsupType.REL else Q850_CUT
             clearing = use.clearing
             self._free(use)
             if not clearing:
-                core.desk_released(self.desk, use.call, causes.ended_by(m.cause), m.cause)
+                core.desk_released(self.desk, use.call, causes.ended_by(cause), cause)
                 # After the outcome: 'no circuit' beyond the peer says nothing of the circuits toward it.
                 self.tell_group()
         elif m.kind == IsupType.RLC and use.clearing:
--- a/arrowrail/wire/m3ua_front.py
+++ b/arrowrail/wire/m3ua_front.py
@@ -89,7 +89,7 @@
         circuit = self.circuits.get(key)
         if message.kind == IsupType.IAM:
             self._set_up(link, key, circuit, message)
-        elif message.kind == IsupType.REL:
+        elif message.kind in (IsupType.REL, IsupType.RSC):
             link.send_isup(label.opc, Isup(message.cic, IsupType.RLC))
             if circuit is not None:
                 if not circuit.clearing and not self.core.caller_released(circuit.call):
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -191,6 +191,28 @@
         run.until(lambda: not run.core.requests)
 
 
+def test_a_circuit_reset_by_either_side_cuts_what_is_on_it() -> None:
+    with both_sides() as (run, caller, peer):
+        for cic, resets in ((1, caller), (2, peer)):
+            caller.send(cic, IAM, called="15")
+            out = peer.isup(IAM)
+            peer.send(out.cic, ANM)
+            caller.isup(ANM, cic)
+            resets.send(cic if resets is caller else out.cic, IsupType.RSC)
+            resets.isup(RLC)
+            if resets is caller:
+                assert peer.isup(REL).cause == 16
+            else:
+                assert caller.isup(REL, cic).cause == 41
+        run.until(lambda: not run.core.requests)
+
+
+def test_a_call_that_a_desk_exchange_begins_is_rejected() -> None:
+    with both_sides() as (_run, _caller, peer):
+        peer.send(9, IAM, called="15")
+        assert peer.isup(REL, 9).cause == 29
+
+
 def test_a_standing_call_outlives_its_client_association() -> None:
     with both_sides() as (run, caller, peer):
         caller.send(1, IAM, called="15")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -227,6 +227,7 @@
         (Isup(1, IsupType.ACM, 0, 0), "010006161400"),
         (Isup(2, IsupType.REL, 0, 0, cause=34, congestion=1), "02000c02040280a227010100"),
         (Isup(3, IsupType.RLC, 0, 0), "03001000"),
+        (Isup(3, IsupType.RSC, 0, 0), "030012"),
         (Isup(4, IsupType.IAM, 10, 0, "ABCDE0", uui=b"x" * 254), ""),
     ],
 )
@@ -246,7 +247,7 @@
 
 
 def test_isup_passes_over_what_is_no_basic_call_and_carries_no_half_description() -> None:
-    assert isup.decode(bytes.fromhex("010012")) is None
+    assert isup.decode(bytes.fromhex("010017")) is None
     with pytest.raises(IsupError):
         isup.encode(Isup(1, IsupType.ANM, uui=b"x" * 255))
 
