Guard the loop against faults in one deadline or action; rebuild when requirements change

The build line kept an environment made before a requirement was added (it only looked for an interpreter); it now compares the requirements that the environment was made with.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 
 .PHONY: build dev test lint run check
 build:
-	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
-	$(VENV)/bin/pip -q install -r requirements.txt
+	cmp -s requirements.txt $(VENV)/built || (python3 -m venv $(VENV) && \
+	$(VENV)/bin/pip -q install -r requirements.txt && cp requirements.txt $(VENV)/built)
 
 dev: build
 	$(VENV)/bin/pip -q install ".[dev]"
--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -274,7 +274,12 @@
             self.defects += 1
             return
         for action in actions:
-            self._carry_out(action)
+            try:
+                self._carry_out(action)
+            except Exception:
+                # Guards the actions behind it: a fault in one front or back must not cost other calls theirs.
+                logger.exception("could not carry out {}", action)
+                self.defects += 1
 
     def _carry_out(self, action: i.Action) -> None:
         match action:
--- a/arrowrail/state/deadlines.py
+++ b/arrowrail/state/deadlines.py
@@ -5,6 +5,8 @@
 import heapq
 from collections.abc import Callable
 
+from loguru import logger
+
 
 class Deadline:
     """One thing to do at a time; ``cancel`` leaves it in the order, to be passed over."""
@@ -54,4 +56,8 @@
         for deadline in due:
             act, deadline.act = deadline.act, None
             if act is not None:
-                act()
+                try:
+                    act()
+                except Exception:
+                    # Guards against a fault in one deadline's work ending the process and all its calls.
+                    logger.exception("what was due failed")
--- a/arrowrail/wire/listener.py
+++ b/arrowrail/wire/listener.py
@@ -63,7 +63,11 @@
                     self._pause()
                     return
                 continue
-            self._accepted(sock)
+            try:
+                self._accepted(sock)
+            except OSError as why:  # reset before its options could be set
+                logger.debug("a connection was gone at once: {}", why)
+                sock.close()
 
     def _pause(self) -> None:
         self._paused = True
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -163,6 +163,20 @@
     assert bench.act(at_ms=9_012) == [("answer", "failed")] and not bench.core.requests
 
 
+def test_a_fault_in_a_back_costs_no_other_call_its_action(monkeypatch: pytest.MonkeyPatch) -> None:
+    bench = Bench()
+    other = "00000000000000b2"
+    bench.core.offer(bench.out, 0, Offer(other, "check", "ab", 0xAB, 1, 1, 9_000 * MS, b""))
+
+    def fails(*_: Any) -> None:
+        raise RuntimeError("a fault in the back")
+
+    monkeypatch.setattr(bench.out, "set_up", fails)
+    assert bench.act(to(1), i.Refuse(other, 0)) == [("answer", "refused")] and bench.core.defects == 1
+    bench.act(at_ms=9_001)
+    assert ("answer", "failed") in bench.act(at_ms=9_012) and not bench.core.requests
+
+
 def test_a_call_taken_before_a_restart_is_released_to_its_caller_once() -> None:
     bench = Bench()
     desk = bench.core.directory.desks[1]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -350,6 +350,10 @@
     def again() -> None:
         deadlines.at(5, lambda: ran.append(5))
 
+    def fails() -> None:
+        raise RuntimeError("a fault that must not keep the others from running")
+
+    deadlines.at(5, fails)
     deadlines.at(10, again)  # set while others run: for the next turn, however early it is
     deadlines.now = 20
     deadlines.run_due()
