--- a/arrowrail/wire/etcd_client.py
+++ b/arrowrail/wire/etcd_client.py
@@ -31,6 +31,7 @@
         self._body = bytearray()
         self._watch: etcd.WatchParser | None = None
         self._quiet: Deadline | None = None
+        self._watched_since = 0
 
     def start(self) -> None:
         self._http, self._body, self._watch = BodyParser(), bytearray(), None
@@ -69,7 +70,7 @@
             return
         news = etcd.read_range(bytes(self._body))
         self.core.list_news(SOURCE, True, news.lines)
-        self.pause_ns = FIRST_PAUSE_NS
+        self._watched_since = self.loop.now
         self._http, self._watch = BodyParser(), etcd.WatchParser(self.prefix)
         self.stream.send(etcd.watch_request(self.address, self.prefix, news.revision + 1))
         self._expect(SILENCE_NS)
@@ -88,5 +89,8 @@
         self.stream = None
         if self._quiet is not None:
             self._quiet.cancel()
+        # Guards against hammering a gateway that answers the range and ends each watch at once.
+        if self._watch is not None and self.loop.now - self._watched_since > LONGEST_PAUSE_NS:
+            self.pause_ns = FIRST_PAUSE_NS
         self.loop.deadlines.at(self.loop.now + self.pause_ns, self.start)
         self.pause_ns = min(2 * self.pause_ns, LONGEST_PAUSE_NS)
