Cut what was sent to a desk exchange before it was started anew under its uid

Found in review: the list may show a known uid in service with a later start. Calls that stood on the process before it were never released, as no news of them can come (core.list_news). What was sent before the stated start is now cut, towards the caller and the exchange; what was sent after it is left alone. Table test in test_core.

--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -220,12 +220,17 @@
         if request is not None and attempt is not None and attempt.desk is desk:
             self._attempt_over(request, attempt, outcome, cause, False)
 
-    def desk_gone(self, desk: Desk) -> None:
-        """Nothing runs there any more: what stood is cut, what was out is lost."""
+    def desk_gone(self, desk: Desk, before_ns: int = 0) -> None:
+        """Nothing runs there any more: what stood is cut, what was out is lost.
+
+        With ``before_ns``, only what was sent before that time.
+        """
         for request in self.requests:
             attempt = request.out
-            if attempt is None or attempt.desk is not desk:
+            if attempt is None or attempt.desk is not desk or 0 < before_ns <= attempt.sent_ns:
                 continue
+            if before_ns:  # the exchange goes on: its back has to let go of what the call held there
+                self._back(desk).release(desk, request.offer.call, Q850_CUT)
             self._attempt_over(request, attempt, "connection_lost", 0, request.stands)
             if request.stands:
                 request.front.release(request, Q850_CUT)
@@ -255,6 +260,10 @@
             self._back(desk).changed(desk)
             if desk.told.state == TERMINATED:
                 self.desk_gone(desk)
+            elif 0 < desk.told.since_ns <= self.now:
+                # Guards against calls left standing for good on a process that was started anew under the
+                # same uid: it knows nothing of what was sent to the one before it.
+                self.desk_gone(desk, desk.told.since_ns)
 
     # --- The turn ---------------------------------------------------------------------------------------
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -185,6 +185,17 @@
     assert bench.act() == [("unknown", "00000000000000ff")]
 
 
+@pytest.mark.parametrize(("since_ms", "cut"), [(0, False), (200, False), (400, True), (9_000, False)])
+def test_a_start_under_the_same_uid_cuts_what_was_sent_before_it(since_ms: int, cut: bool) -> None:
+    bench = Bench()
+    bench.act(to(1), at_ms=300)
+    bench.core.desk_answered(bench.core.directory.desks[1], CALL, b"")
+    bench.core.deadlines.now = 1_000 * MS
+    bench.core.list_news("bus", False, [Told("d1", "a:1", "x", 1, "in_service", since_ms * MS)])
+    assert bench.act().count(("release", 41)) == (2 if cut else 0)  # to the caller, and to the exchange
+    assert len(bench.core.requests) == (0 if cut else 1)
+
+
 def test_lines_for_a_back_that_is_not_there_are_passed_over() -> None:
     bench = Bench()
     bench.core.list_news("bus", False, [Told("x", "a:1", "z", 9, "in_service", 0, "m3ua")])
