Forget a released set-up among a desk connection's unanswered ones

A set-up released because its exchange was started anew stayed in Link.waiting until the connection ended. All tests green.

--- a/arrowrail/wire/desk_back.py
+++ b/arrowrail/wire/desk_back.py
@@ -156,6 +156,7 @@
     def release(self, desk: Desk, call: str, cause: int) -> None:
         link = self.links.get(desk.office)
         if link is not None:
+            link.waiting.pop(call, None)
             link.send(DeskMessage(binary.RELEASE, int(call, 16), cause=cause), OWED)
 
     # --- From the desk exchanges ------------------------------------------------------------------------
