Close a desk connection that stalls mid-message, and blame no processor for it

Cause: wire/desk_back.py fed a message whose length claims up to 16 KiB more than came into the parser for ever: all that followed on that connection, releases and answers of all calls, was swallowed as its rest. And trackhatch/choice.py learn() booked every connection_lost as a refusal of the processor with a wait of the longest aim: one spoilt answer shut a healthy route for seconds. Change: an age limit on unfinished input (wire/unfinished.py, also on M3UA associations); unknown kinds, answers without description and figures that are no numbers are fatal to their connection; up to four connections to each desk exchange; what broke with one is released over another; an unsent set-up moves to another; an answer under an id never known is ignored, not answered with a release; the cause LINK_BROKE tells the module that a processor is not to blame, and lets it take the same route once more.

--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -26,6 +26,7 @@
 
 STANDS, REFUSED, FAILED = "stands", "refused", "failed"
 Q850_NORMAL, Q850_CUT = 16, 41
+LINK_BROKE = i.LINK_BROKE  # a cause: the connection failed, which says nothing of the processor
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +182,8 @@
     def desk_answered(self, desk: Desk, call: str, description: bytes) -> None:
         request = self.find(call)
         attempt = request.out if request is not None else None
+        if request is None and call not in self.ended:
+            return  # nobody's: it came with another call's answer
         if request is None or attempt is None or attempt.desk is not desk:
             # A crossed answer: its call was cancelled, timed out or went elsewhere, and must not stand here.
             self._back(desk).release(desk, call, Q850_NORMAL)
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -26,6 +26,7 @@
 
 # After SIGTERM connections come for up to 0.4 s more, and requests on them for 0.2 s after that.
 STILL_COMING_NS = 700 * MS
+MOST_LINKS, LINK_SHARE = 4, 64  # of 256 descriptors, nine desk exchanges get 36
 FLUSH_NS = 500 * MS  # for answers that are not written to their end
 
 
@@ -33,7 +34,9 @@
     def __init__(self, config: Config, operator: Operator | None = None) -> None:
         self.loop = Loop()
         self.core = Core(config.settings, config.seed, self.loop.deadlines)
-        DeskBack(self.loop, self.core, config.connect_timeout_ns)
+        # A few connections to each desk exchange, from what callers leave of the descriptors.
+        per_desk = max(1, min(MOST_LINKS, config.sockets // LINK_SHARE))
+        DeskBack(self.loop, self.core, config.connect_timeout_ns, per_desk)
         self.front = SipFront(self.loop, self.core, config.listen, config.sockets)
         self.bus = BusClient(self.loop, self.core, config.bus)
         self.config, self.operator = config, operator
--- a/arrowrail/wire/binary.py
+++ b/arrowrail/wire/binary.py
@@ -10,6 +10,8 @@
 P_CLASS, P_WAIT, P_NUMBER, P_NOTE, P_TOLD_WAIT, P_GROUP, P_CAUSE, P_DESCRIPTION = (
     129, 132, 141, 150, 153, 156, 171, 174,
 )  # fmt: skip
+KINDS = (SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, GROUP, TEST, TESTED)
+MAX_FIGURE = 10**9  # far above any wait in milliseconds, or any group
 HEAD = struct.Struct(">HBQ")
 PARAMETER = struct.Struct(">BH")
 
@@ -39,6 +41,16 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def pending(self) -> bool:
+        """Whether a message has begun that is not whole yet."""
+        return bool(self._buffer)
+
+    @property
+    def head(self) -> str:
+        """How that message begins, for a log line."""
+        return self._buffer[:16].hex()
+
     def feed(self, data: bytes) -> list[DeskMessage]:
         """Whole messages so far; ``BinaryError`` on the first that is none."""
         self._buffer += data
@@ -56,6 +68,9 @@
 
 def decode(frame: bytes) -> DeskMessage:
     _, kind, call = HEAD.unpack_from(frame)
+    if kind not in KINDS:
+        # Guards against a spoilt stream being read on: what looks like a message in it may be none.
+        raise BinaryError(f"a message of kind {kind}")
     values: dict[int, bytes] = {}
     at = HEAD.size
     while at < len(frame):
@@ -70,6 +85,8 @@
     cause = values.get(P_CAUSE, b"\0")
     if len(cause) != 1 or (kind in (RELEASE, TESTED) and P_CAUSE not in values):
         raise BinaryError("no usable cause")
+    if kind == ANSWER and not values.get(P_DESCRIPTION):
+        raise BinaryError("an answer without a description")
     try:
         text = {
             code: values[code].decode() for code in (P_CLASS, P_NUMBER, P_NOTE, P_GROUP) if code in values
@@ -77,7 +94,7 @@
         free, size = _group(text.get(P_GROUP, ""))
         return DeskMessage(
             kind, call, cause[0], text.get(P_CLASS, ""), text.get(P_NUMBER, ""),
-            int(values.get(P_WAIT, b"0")), text.get(P_NOTE, ""), int(values.get(P_TOLD_WAIT, b"0")),
+            _figure(values.get(P_WAIT, b"0")), text.get(P_NOTE, ""), _figure(values.get(P_TOLD_WAIT, b"0")),
             free, size,
             values.get(P_DESCRIPTION, b""),
         )  # fmt: skip
@@ -85,9 +102,18 @@
         raise BinaryError(f"a parameter makes no sense: {wrong}") from wrong
 
 
+def _figure(text: bytes) -> int:
+    if not text.isdigit() or int(text[:12]) > MAX_FIGURE:
+        raise ValueError(f"figure {text[:20]!r}")
+    return int(text)
+
+
 def _group(text: str) -> tuple[float, float]:
     pairs = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
-    return float(pairs.get("spare", -1)), float(pairs.get("total", -1))
+    free, size = float(pairs.get("spare", -1)), float(pairs.get("total", -1))
+    if not (-1 <= free <= MAX_FIGURE and -1 <= size <= MAX_FIGURE):  # nor is it NaN
+        raise ValueError(f"group {text[:40]!r}")
+    return free, size
 
 
 def encode(m: DeskMessage) -> bytes:
--- a/arrowrail/wire/m3ua.py
+++ b/arrowrail/wire/m3ua.py
@@ -107,6 +107,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def pending(self) -> bool:
+        """Whether a message has begun that is not whole yet."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Message | M3uaError]:
         """Whole messages so far, and in their places what could not be taken; a fatal one is the last."""
         self._buffer += data
--- a/arrowrail/wire/m3ua_back.py
+++ b/arrowrail/wire/m3ua_back.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from arrowrail.core import Q850_CUT, Core, Offer
+from arrowrail.core import LINK_BROKE, Q850_CUT, Core, Offer
 from arrowrail.run.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
@@ -84,6 +84,7 @@
         if self.link is not link:
             return
         stream, self.link = link.stream, None
+        never_up = stream is None or stream.connecting
         for use in list(self.uses.values()):
             if use.answered or use.clearing:
                 continue
@@ -94,7 +95,7 @@
             else:
                 use.clearing = True  # its circuits stay taken until the peer is back and confirms
             outcome = "no_connection" if never_left else "connection_lost"
-            self.back.core.attempt_failed(self.desk, use.call, outcome)
+            self.back.core.attempt_failed(self.desk, use.call, outcome, 0 if never_up else LINK_BROKE)
         if self.desk.told.state == TERMINATED:
             return
         logger.debug("association with {} lost: {}", self.desk.told.uid, why)
--- a/arrowrail/wire/m3ua_link.py
+++ b/arrowrail/wire/m3ua_link.py
@@ -15,10 +15,12 @@
 from arrowrail.wire.isup import Isup, IsupError
 from arrowrail.wire.m3ua import Error, Kind, M3uaError, Message, ProtocolData, Tag
 from arrowrail.wire.stream import Stream
+from arrowrail.wire.unfinished import Unfinished
 
 DOWN, INACTIVE, ACTIVE = "down", "inactive", "active"
 HANDSHAKE_NS = 2_000 * MS  # T(ack) of RFC 4666: an answer to ASPUP or ASPAC that takes longer won't come
 MISSED_BEATS = 2
+UNFINISHED_NS = 2_000 * MS  # a message has 16 KiB at most
 AFFECTED_POINT_CODE = 0x0012
 
 
@@ -49,6 +51,7 @@
         self._handshake: Deadline | None = None
         self._beat: Deadline | None = None
         self._heard_at = loop.now
+        self._unfinished = Unfinished(loop, UNFINISHED_NS, self._stalled)
 
     # --- The connection ---------------------------------------------------------------------------------
 
@@ -60,7 +63,9 @@
 
     def received(self, data: bytes) -> None:
         self._heard_at = self.loop.now
-        for found in self._parser.feed(data):
+        messages = self._parser.feed(data)
+        self._unfinished.heard(self._parser.pending, bool(messages))
+        for found in messages:
             try:
                 if isinstance(found, M3uaError):
                     raise found
@@ -73,8 +78,14 @@
             if self.stream is None or not self.stream.open:
                 return
 
+    def _stalled(self) -> None:
+        """Guards against half a message holding all that follows it, however its bytes trickle in."""
+        if self.stream is not None:
+            self.stream.fail(OSError(errno.ETIMEDOUT, "stopped in the middle of a message"))
+
     def lost(self, why: OSError | None) -> None:
         self.state = DOWN
+        self._unfinished.cancel()
         for deadline in (self._handshake, self._beat):
             if deadline is not None:
                 deadline.cancel()
@@ -88,6 +99,7 @@
                 self._send(m3ua.encode(Message(Kind.ASPDN)))
             stream.finish()
         self.state = DOWN
+        self._unfinished.cancel()
         for deadline in (self._handshake, self._beat):
             if deadline is not None:
                 deadline.cancel()
--- a/trackhatch/choice.py
+++ b/trackhatch/choice.py
@@ -557,6 +557,8 @@
         if event.call_over:
             self.forget(call)
             return
+        if event.cause == i.LINK_BROKE and event.office in call.tried:
+            call.tried.remove(event.office)  # the route is as good as before: it may be tried once more
         if event.outcome in MAY_HAVE_RUN and call.ran_office < 0:
             call.ran_office, call.ran_at = event.office, self.now - event.lag_ns
         if self.now >= call.o.deadline_ns:
@@ -576,6 +578,8 @@
     def learn(self, office: Office, call: Call, event: i.AttemptEnded, unanswered: bool) -> None:
         """Book a failed attempt to the processor, the far leg or the number that failed it."""
         via = office.entry.exchange != call.o.destination and self.s.layout == "meshed"
+        if event.cause == i.LINK_BROKE:
+            return  # guards against healthy processors being shunned for their connections' faults
         if event.cause == 1:  # no circuit or agent, also where no size was ever told
             office.group.free = min(office.group.free, call.o.width - 1)
         elif event.outcome == "turned_away":
--- a/trackhatch/interface.py
+++ b/trackhatch/interface.py
@@ -153,6 +153,9 @@
     figures: tuple[tuple[str, float], ...]
 
 
+LINK_BROKE = 5  # a cause: the connection to the office failed, which says nothing of its processor
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """The one outcome of an attempt."""
