Answer or close every bad caller within 2 s, and keep the last word from a reset

In wire/stream.py finish() closed with input unread, so the reset could destroy a 413 to a caller in the middle of 60 MB. Change: the age limit on unfinished input covers callers, a first message included; it is armed at the accept and ends with the first whole message, so a quiet connection that has spoken is not touched. A fatal message refuses what its connection has open, once each, and half-closes; what comes is discarded for 3 s at most, by 32 connections at most. An open id with other contents: 400 on another connection, the one answer of both on its own. A repeated id of a call that is over: 503. Under a full table who never asked for anything is closed first. One read is 16 KiB, one accept round 16.

--- a/arrowrail/run/loop.py
+++ b/arrowrail/run/loop.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Any
 
 from arrowrail.state.deadlines import Deadlines
 
@@ -22,6 +23,7 @@
         self._selector = selectors.DefaultSelector()
         # Monotonic, anchored to Unix time once: list times compare with it, and it never steps back.
         self._anchor = time.time_ns() - time.monotonic_ns()
+        self.leaving: dict[Any, None] = {}  # streams that were told their last word, oldest first
         self.deadlines = Deadlines(self._anchor + time.monotonic_ns())
 
     @property
--- a/arrowrail/wire/listener.py
+++ b/arrowrail/wire/listener.py
@@ -12,7 +12,7 @@
 from arrowrail.wire.stream import parse_address
 
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-AT_ONCE = 64  # accepted in one go, so that a flood of connections does not hold up the calls
+AT_ONCE = 16  # accepted in one go: a flood holds up no calls, and who speaks is read before who comes next
 
 
 class Listener:
--- a/arrowrail/wire/m3ua_front.py
+++ b/arrowrail/wire/m3ua_front.py
@@ -16,7 +16,7 @@
 from arrowrail.wire.isup import UUI_MAX, Isup, IsupType
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.m3ua import ProtocolData
-from arrowrail.wire.m3ua_link import ACTIVE, Association, M3uaSettings
+from arrowrail.wire.m3ua_link import ACTIVE, DOWN, Association, M3uaSettings
 from arrowrail.wire.m3ua_rules import T1_NS, ClassRule, NumberRule
 from arrowrail.wire.stream import Stream
 
@@ -58,9 +58,16 @@
     def start(self) -> None:
         self.core.fronts.append(self)
         self.listener = Listener(
-            self.loop, self.address, self._accepted, lambda: len(self.links) < MAX_CLIENTS, lambda: False
+            self.loop, self.address, self._accepted, lambda: len(self.links) < MAX_CLIENTS, self._close_idlest
         )
 
+    def _close_idlest(self) -> bool:
+        """Guards against silent peers taking the places of clients: who never shook hands goes first."""
+        down = [link for link in self.links if link.state == DOWN and link.stream is not None]
+        if down and down[0].stream is not None:
+            down[0].stream.fail(None)
+        return bool(down)
+
     # --- Associations -----------------------------------------------------------------------------------
 
     def _accepted(self, sock: socket.socket) -> None:
--- a/arrowrail/wire/sip.py
+++ b/arrowrail/wire/sip.py
@@ -58,6 +58,11 @@
         self._buffer = bytearray()
         self.broken = False  # a fatal message was met: the connection is of no more use
 
+    @property
+    def pending(self) -> bool:
+        """Whether a message has begun that is not whole yet."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[SipMessage | Malformed]:
         if self.broken:
             return []
--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip_front.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+import re
 import socket
-from dataclasses import dataclass, field
-
-from loguru import logger
+from dataclasses import dataclass, field, replace
 
 from arrowrail.core import FAILED, MS, REFUSED, STANDS, Answer, Core, Offer, Request
 from arrowrail.run.loop import Loop
@@ -13,9 +12,12 @@
 from arrowrail.wire import sip
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.stream import Stream
+from arrowrail.wire.unfinished import Tally, Unfinished
 
 CALLER_LIMIT = 96 * 1024  # unread answers of one caller: hundreds of these have to fit into memory
 IDLE_NS = 20_000 * MS  # callers close theirs after 4 s: what idles longer has a peer that is gone
+# A caller is owed a word or a close within 3 s: this is how long it may take over a message, its first too.
+UNFINISHED_NS = 2_000 * MS
 SWEEP_NS = 1_000 * MS
 RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for a connection to go out on
 CROSSING_NS = 2_000 * MS  # how long a release that went out may have crossed its connection's close
@@ -25,16 +27,29 @@
 class Caller:
     """One connection from callers; it carries many calls."""
 
-    __slots__ = ("front", "handle", "idle_since", "open_calls", "parser", "serial", "stream")
+    __slots__ = (
+        "front",
+        "handle",
+        "idle_since",
+        "open_calls",
+        "parser",
+        "proven",
+        "serial",
+        "stream",
+        "unfinished",
+    )
 
     def __init__(self, front: SipFront, sock: socket.socket) -> None:
         self.front = front
         self.parser = sip.SipParser()
         self.open_calls: set[str] = set()  # set-ups without their final answer
         self.idle_since = front.loop.now
+        self.proven = False  # it has said something of use
         # Guards against the newest of those accepted in one turn being closed as the idlest of them.
         self.serial = front.accepted = front.accepted + 1
         self.handle = front.callers.add(self)
+        self.unfinished = Unfinished(front.loop, UNFINISHED_NS, self._stalled)
+        self.unfinished.heard(True, False)  # who says nothing at all is owed a close as well
         self.stream = Stream(front.loop, sock, self, limit=CALLER_LIMIT)
 
     def connected(self) -> None:
@@ -42,14 +57,19 @@
 
     def received(self, data: bytes) -> None:
         self.idle_since = self.front.loop.now
-        for message in self.parser.feed(data):
+        found = self.parser.feed(data)
+        self.unfinished.heard(self.parser.pending, bool(found))
+        for message in found:
             if isinstance(message, sip.Malformed):
                 self.front.malformed(self, message)
             else:
                 self.front.message(self, message)
-        if self.parser.broken:
-            self.stream.finish()
-            self.lost(None)
+            if self.stream.finishing or not self.stream.open:
+                return  # what is behind a message that can't be read is not to be trusted
+
+    def _stalled(self) -> None:
+        """It said nothing, or stopped in the middle of a message."""
+        self.front.drop(self)
 
     def lost(self, _why: OSError | None) -> None:
         self.front.gone(self)
@@ -83,6 +103,10 @@
     releasing: dict[str, Releasing] = field(default_factory=dict)
     listener: Listener | None = None
     accepted: int = 0
+    malformed_seen: Tally = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.malformed_seen = Tally(self.loop)
 
     def start(self) -> None:
         self.core.fronts.append(self)
@@ -96,14 +120,35 @@
         self._deliver()
 
     def _room(self) -> bool:
-        return len(self.callers) < max(8, self.max_sockets - RESERVED)
+        return len(self.callers) + len(self.loop.leaving) < max(8, self.max_sockets - RESERVED)
 
     def _close_idlest(self) -> bool:
+        """Those who were told their last word go first, then those who never said anything of use."""
+        if self.loop.leaving:
+            next(iter(self.loop.leaving)).fail(None)
+            return True
         idle = [c for c in self.callers if not c.open_calls]
         if idle:
-            self._close(min(idle, key=lambda c: (c.idle_since, c.serial)))
+            self._close(min(idle, key=lambda c: (c.proven, c.idle_since, c.serial)))
         return bool(idle)
 
+    def drop(self, caller: Caller) -> None:
+        """Its input is of no use: what it has open is refused, once each, and it is told no more."""
+        for call in list(caller.open_calls):
+            self._refuse_open(call, caller, 503)
+        self.gone(caller)
+        caller.stream.finish(self._left)
+
+    def _left(self) -> None:
+        if self.listener is not None:
+            self.listener.resume()
+
+    def _refuse_open(self, call: str, caller: Caller, status: int) -> None:
+        """Its caller has made the set-up unusable: that ends it, and this is its one answer."""
+        dialog = self.dialogs[call]
+        self.core.caller_gone(call)
+        self._end(call, caller, sip.response(status, dialog.invite))
+
     def _close(self, caller: Caller) -> None:
         caller.stream.close()
         self.gone(caller)
@@ -121,6 +166,7 @@
     def gone(self, caller: Caller) -> None:
         if self.callers.remove(caller.handle) is None:
             return
+        caller.unfinished.cancel()
         for call in caller.open_calls:
             self.dialogs.pop(call, None)
             self.core.caller_gone(call)
@@ -136,19 +182,17 @@
     # --- From callers -----------------------------------------------------------------------------------
 
     def malformed(self, caller: Caller, found: sip.Malformed) -> None:
-        logger.debug("malformed message from a caller: {}", found.why)
+        self.malformed_seen.count(f"malformed message from a caller: {found.why}")
         message = found.message
-        known = message.call_id in self.dialogs  # its set-up has its own answer to come
-        if (
-            message.method
-            and message.method != "ACK"
-            and message.call_id
-            and message.cseq_method
-            and not known
-        ):
+        if message.call_id in caller.open_calls:
+            # One answer for both: a second one under the same id would be taken for the first set-up's.
+            self._refuse_open(message.call_id, caller, found.status)
+        elif message.method and message.method != "ACK" and message.call_id and message.cseq_method:
             caller.stream.send(sip.response(found.status, message))
         elif not found.fatal:
-            caller.parser.broken = True  # nobody to answer: the connection is dropped
+            self.drop(caller)  # nobody to answer
+        if found.fatal:
+            self.drop(caller)
 
     def message(self, caller: Caller, message: sip.SipMessage) -> None:
         if message.status or message.method in ("ACK", "NOTIFY"):
@@ -168,6 +212,7 @@
             self.dialogs.pop(message.call_id, None)
             caller.stream.send(sip.response(200 if known else 481, message))
         elif message.method == "OPTIONS":
+            caller.proven = True
             caller.stream.send(sip.response(200 if self.core.listed else 503, message))
         else:
             caller.stream.send(sip.response(405, message))
@@ -177,13 +222,22 @@
         return dialog is not None and not dialog.standing
 
     def _invite(self, caller: Caller, message: sip.SipMessage) -> None:
+        call = message.call_id
         try:
             offer = read_invite(message, self.loop.now)
+            if offer.class_name not in self.core.module.kinds:
+                raise ValueError("no such class")
+            request = self.core.find(call)
+            if request is not None and not same_call(request.offer, offer):
+                raise ValueError("the id of another call")
         except ValueError as wrong:
             self.malformed(caller, sip.Malformed(400, str(wrong), message, False))
             return
         if not self.core.offer(self, caller.handle, offer):
+            if request is None:  # it is over, and its answer may not have arrived
+                caller.stream.send(sip.response(503, message))
             return  # sent again: the first one's answer is the only one
+        caller.proven = True
         message.body = b""
         self.dialogs[offer.call] = Dialog(message)
         caller.open_calls.add(offer.call)
@@ -266,6 +320,22 @@
 STATUS = {REFUSED: 503, FAILED: 500}
 
 
+HEX = re.compile(r"[0-9a-f]{1,16}")
+FIGURE = re.compile(r"-?[0-9]{1,12}")
+
+
+def same_call(one: Offer, other: Offer) -> bool:
+    """Whether two set-ups ask for the same, but for the time at which they came."""
+    return replace(one, deadline_ns=0) == replace(other, deadline_ns=0)
+
+
+def _figure(text: str, low: int, high: int) -> int:
+    # Plain digits: what int() takes beyond them, blanks and other scripts, no other party would read.
+    if not FIGURE.fullmatch(text) or not low <= int(text) <= high:
+        raise ValueError(f"figure {text[:20]!r}")
+    return int(text)
+
+
 def read_invite(message: sip.SipMessage, now: int) -> Offer:
     """The request that a set-up asks for; ``ValueError`` names the field that is missing or wrong."""
     headers = message.headers
@@ -273,17 +343,19 @@
         if name not in headers:
             raise ValueError(f"no {name}")
     number = message.uri.removeprefix("sip:").partition("@")[0]
+    if not HEX.fullmatch(number.lower()):
+        raise ValueError("a number that is no number")
+    if len(message.call_id) != 16 or not HEX.fullmatch(message.call_id):
+        raise ValueError("Call-ID is not 16 hex digits")
+    if not message.body:
+        raise ValueError("no description")
     facts = dict(part.split(":", 1) for part in headers["x-facts"].split(";") if ":" in part)
-    patience, call = int(headers["x-patience"]), message.call_id
     if "dest" not in facts:
         raise ValueError("no dest among the facts")
-    width = int(facts.get("width", 1))
-    if not 0 <= patience <= 86_400_000 or not 1 <= width <= 1024:
-        raise ValueError("a figure out of range")
-    if len(call) != 16 or f"{int(call, 16):016x}" != call.lower():
-        raise ValueError("Call-ID is not 16 hex digits")
+    patience = _figure(headers["x-patience"], 0, 86_400_000)
     return Offer(
-        call, headers["subject"], number, int(number, 16), int(facts["dest"]), width, now + patience * MS,
-        message.body, facts.get("transit") == "1", "x-retry" in headers, facts.get("again") == "1",
-        int(facts.get("via", -1)),
+        message.call_id, headers["subject"], number, int(number, 16), _figure(facts["dest"], 0, 1 << 20),
+        _figure(facts.get("width", "1"), 1, 1024), now + patience * MS, message.body,
+        facts.get("transit") == "1", "x-retry" in headers, facts.get("again") == "1",
+        _figure(facts.get("via", "-1"), -1, 1 << 20),
     )  # fmt: skip
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 from collections import deque
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -12,7 +14,9 @@
 
 from arrowrail.run.loop import READ, WRITE, Loop
 
-READ_SIZE = 64 * 1024
+READ_SIZE = 16 * 1024  # of one connection in one turn: a peer that floods waits its turn like the others
+LINGER_NS = 3_000_000_000  # for a peer that was told its last word to stop sending and close
+MOST_LEAVING = 32  # such peers at a time: beyond them the oldest is cut off
 OUT_LIMIT = 256 * 1024  # a peer that lets this much pile up is not reading: it is cut off
 # Little is handed to the kernel ahead of what the peer has room for: what it holds can't be taken back.
 NOTSENT_LOWAT = 4096
@@ -26,6 +30,23 @@
         """The connection has ended by itself; ``None`` where the peer closed it in good order."""
 
 
+class _Leaving:
+    """Owns a stream that is finishing: what still comes is thrown away."""
+
+    def __init__(self, closed: Callable[[], None] | None) -> None:
+        self._closed = closed
+
+    def connected(self) -> None:
+        pass
+
+    def received(self, data: bytes) -> None:
+        pass
+
+    def lost(self, _why: OSError | None) -> None:
+        if self._closed is not None:
+            self._closed()
+
+
 class Unsent:
     __slots__ = ("data", "offset", "tag")
 
@@ -57,6 +78,7 @@
         self.loop, self.sock, self.owner = loop, sock, owner
         self.connecting = connecting
         self.open = True
+        self.finishing = False
         self._out: deque[Unsent] = deque()
         self._size, self._limit = 0, limit
         self._mask = 0
@@ -67,7 +89,7 @@
 
     def send(self, data: bytes, tag: object = None) -> None:
         """Queue a whole message and write what the peer has room for; ``tag`` names it for ``withdraw``."""
-        if not self.open:
+        if not self.open or self.finishing:
             return
         self._out.append(Unsent(data, tag))
         self._size += len(data)
@@ -102,26 +124,40 @@
 
     def close(self) -> None:
         if self.open:
-            self.open = False
-            self.loop.unwatch(self.sock)
-            self.sock.close()
+            self._shut()
             self._out.clear()
 
-    def finish(self) -> None:
-        """Write what can still be written, then close: for a last word to a peer that broke the protocol."""
-        if self.open and not self.connecting:
-            self._flush()
-        self.close()
+    def finish(self, closed: Callable[[], None] | None = None) -> None:
+        """Write what is queued, half-close, and read on until the peer closes, for a last word to it.
+
+        Guards against the last word being destroyed: a close with input unread resets the connection, and the
+        reset can overtake what was written before it.  What comes is discarded, for ``LINGER_NS`` at most.
+        """
+        if not self.open or self.connecting or self.finishing:
+            self.close()
+            if closed is not None:
+                closed()
+            return
+        self.finishing, self.owner = True, _Leaving(closed)
+        self.loop.leaving[self] = None
+        if len(self.loop.leaving) > MOST_LEAVING:
+            next(iter(self.loop.leaving)).fail(None)
+        self.loop.deadlines.at(self.loop.now + LINGER_NS, lambda: self.fail(None))
+        self._flush()
 
     def fail(self, why: OSError | None) -> None:
         """End it and tell the owner, once.  The queue stays, so that the owner can ask what never left."""
         if self.open:
-            self.open = False
-            self.loop.unwatch(self.sock)
-            self.sock.close()
+            self._shut()
             self.owner.lost(why)
             self._out.clear()
 
+    def _shut(self) -> None:
+        self.open = False
+        self.loop.leaving.pop(self, None)
+        self.loop.unwatch(self.sock)
+        self.sock.close()
+
     def _watch(self) -> None:
         mask = WRITE if self.connecting else READ | (WRITE if self._out else 0)
         if mask != self._mask:
@@ -177,5 +213,9 @@
             logger.debug("write failed: {}", why)
             self.loop.deadlines.at(self.loop.now, partial(self.fail, why))
             return
-        if self.open:
-            self._watch()
+        if not self.open:
+            return
+        self._watch()
+        if self.finishing and not self._out:
+            with contextlib.suppress(OSError):  # the peer has gone already
+                self.sock.shutdown(socket.SHUT_WR)
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from arrowrail.wire import binary, bus_client
+from arrowrail.wire import binary, bus_client, sip_front
 from tests.live import (
     SDP,
     BusStand,
@@ -386,6 +386,90 @@
         set_up(peer, B)
 
 
+@pytest.mark.parametrize(
+    "changed",
+    [
+        ("Subject: check", "Subject: nonsense"),
+        ("X-Patience: 8000", "X-Patience: 8_000"),
+        ("X-Patience: 8000", "X-Patience: 99999999999"),
+        ("dest:1", "dest:-1"),
+        ("width:1", "width:0"),
+        ("via:-1", "via:nan"),
+        ("@net", "0x@net"),
+        (A, A[:-1]),
+    ],
+)
+def test_a_set_up_that_makes_no_sense_is_refused_and_never_sent_on(changed: tuple[str, str]) -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A, change=changed)
+        assert caller.take().status == 400
+        caller.invite(B, body=b"")
+        assert caller.answer(B).status == 400
+        caller.invite(C)
+        assert peer.take().call == int(C, 16)
+
+
+def test_an_open_id_with_another_description_ends_in_one_answer_each() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, first, other = desk.desk(), Caller(run.port), Caller(run.port)
+        for call in (A, B):
+            first.invite(call)
+            set_up(peer, call)
+        other.invite(A, body=b"another")  # from elsewhere: the open call is not touched
+        assert other.answer(A).status == 400
+        first.invite(A)  # sent again as it was: one answer for both
+        first.invite(B, body=b"another")  # from its own caller: which is meant can't be told
+        assert first.answer(B).status == 400 and release(peer, B).cause == 16
+        tell(peer, binary.ANSWER, A, description=ANSWER)
+        tell(peer, binary.ANSWER, B, description=ANSWER)
+        assert first.answer(A).body == ANSWER
+        other.invite(B)  # it is over
+        assert other.answer(B).status == 503
+        first.send("OPTIONS", C)
+        assert first.take().call_id == C  # no second answer came before it
+        first.invite(C)
+        set_up(peer, C)
+        first.sock.sendall(b"INVITE sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\n\r\n" % C.encode())
+        assert first.answer(C).status == 400 and first.closed() and release(peer, C).cause == 16
+
+
+def test_who_says_nothing_or_half_a_message_is_closed_and_who_is_only_quiet_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(sip_front, "UNFINISHED_NS", 200_000_000)
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, quiet, half = desk.desk(), Caller(run.port), Caller(run.port)
+        quiet.send("OPTIONS", B)
+        assert quiet.take().status == 200
+        half.invite(A)
+        set_up(peer, A)
+        half.sock.sendall(b"INVITE sip:1@net SIP/2.0\r\nCall-ID")
+        silent = Caller(run.port)
+        assert half.answer(A).status == 503 and half.closed() and silent.closed()
+        assert release(peer, A).cause == 16
+        quiet.invite(C)
+        set_up(peer, C)
+
+
+def test_the_last_word_reaches_a_caller_that_goes_on_sending() -> None:
+    with running() as run:
+        caller = Caller(run.port)
+        body = bytes(8_000_000)
+        head = (
+            b"INVITE sip:1@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nContent-Length: 60000000\r\n\r\n"
+        )
+        caller.sock.sendall(head % A.encode() + body)
+        assert caller.answer(A).status == 413
+        caller.sock.sendall(body)
+        caller.sock.shutdown(socket.SHUT_WR)
+        assert caller.sock.recv(100) == b""  # an end in good order, no reset
+        run.until(lambda: not run.program.loop.leaving)
+
+
 def test_an_unreadable_desk_message_drops_that_connection_only() -> None:
     ports = [Listening(), Listening()]
     with running(target("d1", ports[0].address, 1), target("d2", ports[1].address, 2)) as run:
@@ -436,8 +520,13 @@
         peer, busy = desk.desk(), Caller(run.port)
         busy.invite(A)
         set_up(peer, A)
+        quiet = Caller(run.port)
+        quiet.send("OPTIONS", C)
+        assert quiet.take().status == 200
         idle = [Caller(run.port) for _ in range(20)]
         assert idle[0].closed()
+        quiet.send("OPTIONS", A)  # those who never spoke go before it
+        assert quiet.take().status == 200
         last = Caller(run.port)
         last.send("OPTIONS", B)
         assert last.take().status == 200
