Let no single lost or late answer shut the route to a processor that answers

Probe (the module's figures once a second, next to what is on the sockets): circuits plenty, processors idle (set-up time 8 to 26 ms, share of bad outcomes 0.00 to 0.04), connections up, and one set-up out, unanswered for 0.5 to 1.5 s, that made expected() tell the same as the wait of everyone. Cause: trackhatch/choice.py Office.expected() takes the age of the oldest unanswered set-up for the wait at the processor. On sockets an answer can be lost or come late by itself; the route then shuts, so nothing can prove otherwise until the caller gives up. Change: a direct set-up that was sent before one that is answered now, by more than the set-up time of the idle processor, is no longer counted as waiting: a processor has one line. Where that happens (share of strays), one set-up alone counts as held up only after half the longest aim, two by the later one.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -101,6 +101,30 @@
     assert refused(c.step(now, [call("b", now=now)])) == ["b"]
 
 
+def test_an_answer_that_is_lost_does_not_close_a_processor_that_answers_the_others() -> None:
+    c = started()
+    c.step(T0, [call("lost")])
+    c.step(T0 + 100 * MS, [call("b", now=T0)])
+    c.step(T0 + 180 * MS, [stands("b", 101)])
+    now = T0 + 2500 * MS
+    assert sent(c.step(now, [call("c", now=now)])) == [("c", 101)]
+    c.step(now, [stands("lost", 101, lag=2500)])  # it comes all the same, and tells nothing of the line
+    assert c.offices[101].expected(now) < 0.2
+
+
+def test_where_answers_get_lost_one_set_up_alone_does_not_shut_a_route_and_two_do() -> None:
+    c = started()
+    c.step(T0, [call("lost")])
+    c.step(T0 + 100 * MS, [call("b", now=T0)])
+    c.step(T0 + 180 * MS, [stands("b", 101)])
+    now = T0 + S
+    c.step(now, [call("alone", now=now)])
+    assert sent(c.step(now + 900 * MS, [call("next", now=now)])) == [("next", 101)]
+    assert c.offices[101].expected(now + 900 * MS) < 0.2
+    later = now + 2400 * MS
+    assert refused(c.step(later, [call("third", now=later)])) == ["third"]
+
+
 def test_a_processor_full_is_left_alone_though_it_refused_quickly() -> None:
     """Incidents ia6cd60 and ic8b864: quick refusals looked like short waits."""
     c = started()
--- a/trackhatch/choice.py
+++ b/trackhatch/choice.py
@@ -29,6 +29,8 @@
 OWN_SHARE_OF_QUEUE = 0.25  # growth of the expected set-up time with each own set-up still unanswered
 HANDICAP = 0.1  # of the mean worth, for each tandem leg: the design's small fixed cost
 LEGS = 2.0  # a two-leg route is charged for the leg it cannot see as for the one it sees
+DOUBT = 0.5  # longest aims that a set-up may wait alone before it counts as held up rather than lost
+STRAY = 0.002  # share of lost and late answers above which that is likelier than a line that forms at once
 SILENCE = 2.0  # longest aims without an answer: a set-up that takes longer earns little
 PRESS = 2.0  # mean worths that a set-up expected to take the tightest aim displaces at its processor
 HOLD_SHARE = 0.6  # of the aim that is left: how long a call may wait for a circuit and still be set up in it
@@ -134,6 +136,7 @@
         self.longest_aim_s = longest_aim_s
         self.group = group
         self.in_transit = Share()  # s, mean of what its controller adds to calls in transit
+        self.strays = Share(RATE_AGE_S)  # set-ups whose answer was lost or late, by those overtaken
         self.bad = Share()  # refusals and time-outs of this processor
         self.out: dict[str, int] = {}  # unanswered set-ups, oldest first, with the time each was sent
         self.floor = 0.0  # s, set-up time of the idle processor
@@ -192,11 +195,18 @@
         return max(self.expected(now), self.floor + stale * self.waits.value(now))
 
     def expected(self, now: int) -> float:
-        """Set-up time (s) that one more set-up must expect; grows with the load that was put on it."""
+        """Set-up time (s) that one more set-up must expect; grows with the load that was put on it.
+
+        Guards, where answers get lost, against a route that one of them shuts so that nothing can overtake
+        it: a set-up that waits alone proves a line after a while only, two do by the later one.
+        """
         self.give_up_on_silent(now)
         wait = self.wait_left(now)
         if self.out:
-            oldest = next(iter(self.out.values()))
+            sent = iter(self.out.values())
+            oldest = next(sent)
+            if self.strays.value(now) > STRAY:
+                oldest = min(next(sent, now), oldest + int(DOUBT * self.longest_aim_s * SECOND))
             wait = max(wait, (now - oldest) / SECOND - self.floor)
         return (self.floor + wait) * (1.0 + OWN_SHARE_OF_QUEUE * len(self.out))
 
@@ -534,11 +544,27 @@
                     last.answered(self.now, lag_s, True)
                 if call.o.number in self.numbers:
                     self.numbers[call.o.number].add(self.now, 0.0)
+            self.overtaken(office, sent_at)
             office.bad.add(self.now, 0.0)
             office.answered(self.now, lag_s, via or self.was_paused or sent_at == self.resumed_at)
+            office.strays.add(self.now, 0.0)
         if call is not None:
             call.stands = True
 
+    def overtaken(self, office: Office, sent_at: int) -> None:
+        """What was sent before a set-up that is answered now waits in no line: a processor has one line.
+
+        Guards against one lost or late answer counting as the wait of a processor that answers all others.
+        A set-up over a tandem is left out: its answer has further to come.
+        """
+        for name, at in list(office.out.items()):
+            call = self.calls.get(name)
+            if at > sent_at - int(office.floor * SECOND):  # closer ones may swap places on the way
+                break
+            if call is None or call.o.destination == office.entry.exchange or self.s.layout != "meshed":
+                del office.out[name]
+                office.strays.add(self.now, 1.0)
+
     def transit_took(self, tandem: Office, lag_s: float) -> None:
         """What a tandem's controller adds to the set-up time: it may stand still while its processor runs."""
         if not self.was_paused:
