Cancel a set-up whose answer is lost and try the same route again

Probes: every set-up and answer on the sockets of one controller: in those seconds one set-up in four to five is never answered, each for itself, on every connection alike, while the next ones are answered in 35 to 60 ms. The figures of the direct route at each refusal: no wait told, circuits free, and one to four unanswered set-ups taken for a wait of 0.5 to 1.5 s. Cause: trackhatch/choice.py: a lost set-up was waited for until its caller gave up, and its age shut the route for all others (expected()), then its caller's leaving did (left_waiting()). Change: a set-up overtaken by a later answer is cancelled after a fifth of the aim and may go the same way again, on another connection than before (wire/desk_back.py), so that a late answer is not taken for the new one. Where answers get lost, as many must wait as are unlikely to be all lost, and above 2 % one more is tried after a tenth of the aim. The first lost answer on a route therefore still shuts it until its caller leaves.

--- a/arrowrail/wire/desk_back.py
+++ b/arrowrail/wire/desk_back.py
@@ -17,7 +17,7 @@
 from arrowrail.wire.unfinished import Tally, Unfinished
 
 OWED = "release"  # names releases among the messages of a connection; no call's id looks like it
-OWED_KEPT = 1000
+OWED_KEPT = 200  # and of the set-ups given up lately
 UNFINISHED_NS = 500 * MS  # a message has 16 KiB at most: the rest of one is there within two round trips
 # Release causes of an unanswered set-up, as outcomes of the module.
 OUTCOMES = {34: "turned_away", 17: "server_error", 47: "server_error", 102: "not_sent", 41: "connection_lost"}
@@ -129,15 +129,24 @@
     def __init__(self, back: DeskBack, desk: Desk, size: int) -> None:
         self.back, self.desk = back, desk
         self.owed: list[bytes] = []  # releases that found no connection
+        self.given_up: dict[str, Link] = {}  # where set-ups were that no longer wait, the latest of them
         self.links = [Link(self) for _ in range(size)]
 
     def open(self) -> None:
         for link in self.links:
             link.open()
 
-    def pick(self) -> Link:
-        """The one with the fewest set-ups to lose, of those that are up."""
-        return min(self.links, key=lambda link: (not link.up, link.stream is None, len(link.waiting)))
+    def pick(self, call: str = "") -> Link:
+        """The one with the fewest set-ups to lose, of those that are up.
+
+        Guards a call that goes the same way again: on another connection than before, a late answer to the
+        first set-up can't be taken for one to the second.
+        """
+        before = self.given_up.get(call)
+        return min(
+            self.links,
+            key=lambda link: (not link.up, link.stream is None, link is before, len(link.waiting)),
+        )
 
     def holding(self, call: str) -> Link | None:
         return next((link for link in self.links if call in link.waiting), None)
@@ -225,7 +234,7 @@
             binary.SET_UP, int(offer.call, 16), class_name=offer.class_name, number=offer.number,
             wait_ms=max(1, wait_ns // MS), description=offer.description,
         )  # fmt: skip
-        self._links(desk).pick().set_up(offer.call, binary.encode(message))
+        self._links(desk).pick(offer.call).set_up(offer.call, binary.encode(message))
 
     def give_up(self, desk: Desk, call: str) -> None:
         links = self.desks.get(desk.office)
@@ -233,6 +242,9 @@
         if link is None:
             return
         del link.waiting[call]
+        link.group.given_up[call] = link
+        if len(link.group.given_up) > OWED_KEPT:
+            del link.group.given_up[next(iter(link.group.given_up))]
         if link.stream is not None and not link.stream.withdraw(call):
             # On the set-up's own connection: on another one it could overtake it.
             link.stream.send(binary.encode(DeskMessage(binary.RELEASE, int(call, 16), cause=16)), OWED)
--- a/trackhatch/choice.py
+++ b/trackhatch/choice.py
@@ -30,7 +30,10 @@
 HANDICAP = 0.1  # of the mean worth, for each tandem leg: the design's small fixed cost
 LEGS = 2.0  # a two-leg route is charged for the leg it cannot see as for the one it sees
 DOUBT = 0.5  # longest aims that a set-up may wait alone before it counts as held up rather than lost
+UNLIKELY = 0.05  # chance at which set-ups are no longer held to be all lost
+OFTEN_LOST, TRIAL = 0.02, 0.1  # share of lost answers; longest aims from one trial to the next, above it
 STRAY = 0.002  # share of lost and late answers above which that is likelier than a line that forms at once
+LOST, LOST_AFTER = "lost?", 0.2  # of the aim: when an overtaken set-up is cancelled; the rest is for another
 SILENCE = 2.0  # longest aims without an answer: a set-up that takes longer earns little
 PRESS = 2.0  # mean worths that a set-up expected to take the tightest aim displaces at its processor
 HOLD_SHARE = 0.6  # of the aim that is left: how long a call may wait for a circuit and still be set up in it
@@ -136,7 +139,7 @@
         self.longest_aim_s = longest_aim_s
         self.group = group
         self.in_transit = Share()  # s, mean of what its controller adds to calls in transit
-        self.strays = Share(RATE_AGE_S)  # set-ups whose answer was lost or late, by those overtaken
+        self.strays = Share()  # set-ups whose answer was lost or late, by those overtaken
         self.bad = Share()  # refusals and time-outs of this processor
         self.out: dict[str, int] = {}  # unanswered set-ups, oldest first, with the time each was sent
         self.floor = 0.0  # s, set-up time of the idle processor
@@ -166,6 +169,7 @@
         """A caller left before the answer: the wait is at least what it saw, no proof of a failure.
 
         Guards against impatient callers closing healthy processors.  Harm: a hang shows a little later."""
+        silent_s = min(silent_s, self.held_up(now))
         self.wait, self.wait_at = max(self.wait_left(now), silent_s - self.floor), now
 
     def give_up_on_silent(self, now: int) -> None:
@@ -194,20 +198,28 @@
         stale = 1.0 - math.exp(DRAIN_PACE * (self.wait_at - now) / SECOND)
         return max(self.expected(now), self.floor + stale * self.waits.value(now))
 
-    def expected(self, now: int) -> float:
-        """Set-up time (s) that one more set-up must expect; grows with the load that was put on it.
+    def held_up(self, now: int) -> float:
+        """How long (s) the unanswered set-ups prove that one waits.
 
-        Guards, where answers get lost, against a route that one of them shuts so that nothing can overtake
-        it: a set-up that waits alone proves a line after a while only, two do by the later one.
+        The oldest proves it, unless answers get lost here: then as many must wait as are unlikely to be all
+        lost, or one for long.  Guards against a route that a lost answer shuts, so that nothing overtakes it.
         """
+        if not self.out:
+            return 0.0
+        sent = list(self.out.values())
+        since, lost = sent[0], self.strays.value(now)
+        if lost > STRAY:
+            proof = 2 + int(math.log(UNLIKELY) / math.log(min(0.5, max(lost, UNLIKELY))))
+            late = since + int(DOUBT * self.longest_aim_s * SECOND)
+            since = min(late, sent[proof - 1] if len(sent) >= proof else now)
+            if lost > OFTEN_LOST and now - sent[-1] > TRIAL * self.longest_aim_s * SECOND:
+                return 0.0  # the latest has waited for a while too: one more is tried
+        return max(0.0, (now - since) / SECOND)
+
+    def expected(self, now: int) -> float:
+        """Set-up time (s) that one more set-up must expect; grows with the load that was put on it."""
         self.give_up_on_silent(now)
-        wait = self.wait_left(now)
-        if self.out:
-            sent = iter(self.out.values())
-            oldest = next(sent)
-            if self.strays.value(now) > STRAY:
-                oldest = min(next(sent, now), oldest + int(DOUBT * self.longest_aim_s * SECOND))
-            wait = max(wait, (now - oldest) / SECOND - self.floor)
+        wait = max(self.wait_left(now), self.held_up(now) - self.floor)
         return (self.floor + wait) * (1.0 + OWN_SHARE_OF_QUEUE * len(self.out))
 
 
@@ -564,6 +576,18 @@
             if call is None or call.o.destination == office.entry.exchange or self.s.layout != "meshed":
                 del office.out[name]
                 office.strays.add(self.now, 1.0)
+                if call is not None and self.s.may_cancel and call.kind.repeat == "free":
+                    wait = int(LOST_AFTER * call.kind.aim_ns) - (self.now - at)
+                    self.acts.append(i.SetTimer(max(1, wait), f"{LOST} {call.attempts} {name}"))
+
+    def try_again(self, name: str, attempts: int) -> None:
+        """Its answer is lost, as later ones came: cancelled, the call may go again, the same way too."""
+        call = self.calls.get(name)
+        if call is None or call.stands or call.out < 0 or call.attempts != attempts:
+            return
+        if attempts < self.s.max_attempts and self.now + self.s.release_ns < call.o.deadline_ns:
+            call.tried.remove(call.out)
+            self.acts.append(i.CancelSetUp(name, attempts - 1))
 
     def transit_took(self, tandem: Office, lag_s: float) -> None:
         """What a tandem's controller adds to the set-up time: it may stand still while its processor runs."""
@@ -631,12 +655,16 @@
             return
         office = self.offices.get(call.out)
         if office is not None and event.call in office.out:
-            office.left_waiting(self.now, (self.now - office.out.pop(event.call)) / SECOND - self.paused)
+            office.left_waiting(self.now, (self.now - office.out[event.call]) / SECOND - self.paused)
+            del office.out[event.call]
         self.forget(call)
 
     def timer_due(self, event: i.TimerDue) -> None:
         if event.mark in ("list", "note"):
             return self.ask_list() if event.mark == "list" else self.tell_peers()
+        if event.mark.startswith(LOST):
+            _, attempts, name = event.mark.split(" ", 2)
+            return self.try_again(name, int(attempts))
         call = self.calls.get(event.mark)
         if call is not None and call.out < 0 and not call.stands and self.now >= call.not_before:
             self.stop_waiting(call)
