Close no caller whose input is unread or who has just come when the table is full

Ruled out by reading: answers cut by the buffer limit, the age limit (it ends with the first whole message), handlers that failed (they are logged). Change: the order is told their last word, silent for 0.25 s, idle for 5 s, just come, lately active; nobody with unread input or an open set-up; room is made once somebody has come. 80 descriptors are kept for the program instead of 128: a dozen desk exchanges in fours, and the rest.

--- a/arrowrail/wire/listener.py
+++ b/arrowrail/wire/listener.py
@@ -47,9 +47,6 @@
 
     def _accept(self, _mask: int) -> None:
         for _ in range(AT_ONCE):
-            if not self._room() and not self._close_idlest():
-                self._pause()
-                return
             try:
                 sock, _address = self._sock.accept()
             except BlockingIOError:
@@ -63,11 +60,16 @@
                     self._pause()
                     return
                 continue
+            # Room is made once somebody has come, not ahead: else the last place would always stay empty.
+            full = not self._room() and not self._close_idlest()
             try:
                 self._accepted(sock)
             except OSError as why:  # reset before its options could be set
                 logger.debug("a connection was gone at once: {}", why)
                 sock.close()
+            if full:
+                self._pause()
+                return
 
     def _pause(self) -> None:
         self._paused = True
--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip_front.py
@@ -18,10 +18,12 @@
 IDLE_NS = 20_000 * MS  # callers close theirs after 4 s: what idles longer has a peer that is gone
 # A caller is owed a word or a close within 3 s: this is how long it may take over a message, its first too.
 UNFINISHED_NS = 2_000 * MS
+LEFT_IDLE_NS = 5_000 * MS  # callers close after 4 s with no call: who is still there holds it for good
+SPEAK_NS = 250 * MS  # how long a caller may take to begin its first message before its place is wanted
 SWEEP_NS = 1_000 * MS
 RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for a connection to go out on
 CROSSING_NS = 2_000 * MS  # how long a release that went out may have crossed its connection's close
-RESERVED = 128  # descriptors kept for desk exchanges, the list and the process itself
+RESERVED = 80  # descriptors kept for desk exchanges (a dozen in fours), the list and the process itself
 
 
 class Caller:
@@ -123,14 +125,27 @@
         return len(self.callers) + len(self.loop.leaving) < max(8, self.max_sockets - RESERVED)
 
     def _close_idlest(self) -> bool:
-        """Those who were told their last word go first, then those who never said anything of use."""
+        """Who was told its last word goes first, then who says nothing, then who has idled for long.
+
+        Guards against a set-up being destroyed unread: who has just come gets time to speak, and nobody is
+        closed whose input waits.
+        """
         if self.loop.leaving:
             next(iter(self.loop.leaving)).fail(None)
             return True
-        idle = [c for c in self.callers if not c.open_calls]
-        if idle:
-            self._close(min(idle, key=lambda c: (c.proven, c.idle_since, c.serial)))
-        return bool(idle)
+        now = self.loop.now
+
+        def rank(caller: Caller) -> tuple[int, int, int]:
+            since = now - caller.idle_since
+            if caller.proven:
+                return (1 if since > LEFT_IDLE_NS else 3), caller.idle_since, caller.serial
+            return (0 if since > SPEAK_NS else 2), caller.idle_since, caller.serial
+
+        for caller in sorted((c for c in self.callers if not c.open_calls), key=rank):
+            if not caller.stream.unread:
+                self._close(caller)
+                return True
+        return False
 
     def drop(self, caller: Caller) -> None:
         """Its input is of no use: what it has open is refused, once each, and it is told no more."""
@@ -156,7 +171,8 @@
     def _sweep(self) -> None:
         now = self.loop.now
         for caller in self.callers:
-            if not caller.open_calls and now - caller.idle_since > IDLE_NS:
+            idle = not caller.open_calls and now - caller.idle_since > IDLE_NS
+            if idle and not caller.stream.unread:
                 self._close(caller)
         self.releasing = {call: r for call, r in self.releasing.items() if r.until > now}
         if self.listener is not None:
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -109,6 +109,14 @@
         """The messages of that name that were not written to their end."""
         return [item.data for item in self._out if item.tag == tag]
 
+    @property
+    def unread(self) -> bool:
+        """Whether input waits in the kernel: closing now would destroy it, and what answers it."""
+        try:
+            return self.open and bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     @property
     def flushed(self) -> bool:
         return not self._out
