Hand releases to connections on which a call was answered, not to mere holders

Cause: wire/sip_front.py _deliver() gave what found no connection of its own to the first connection that was open, and to each that had just come: after a restart, or once a caller has closed, that is a connection of somebody who asks nothing and forwards nothing. There it counted as on its way and was dropped after 2 s. Ruled out: the desk exchanges' releases did arrive, since most were told; the shutdown, as the first loss came after the restarts. Change: a release without a connection of its own goes to the most lately heard one on which a call was answered, at once; else after 0.25 s to one that asked for something, after 0.5 s to any; and again as soon as there is a better one than it went to.

--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip_front.py
@@ -22,6 +22,7 @@
 SPEAK_NS = 250 * MS  # how long a caller may take to begin its first message before its place is wanted
 SWEEP_NS = 1_000 * MS
 RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for a connection to go out on
+PATIENCE_NS = 250 * MS  # how long a release waits for a better connection, twice at most
 CROSSING_NS = 2_000 * MS  # how long a release that went out may have crossed its connection's close
 RESERVED = 80  # descriptors kept for desk exchanges (a dozen in fours), the list and the process itself
 
@@ -37,6 +38,7 @@
         "parser",
         "proven",
         "serial",
+        "stood",
         "stream",
         "unfinished",
     )
@@ -47,6 +49,7 @@
         self.open_calls: set[str] = set()  # set-ups without their final answer
         self.idle_since = front.loop.now
         self.proven = False  # it has said something of use
+        self.stood = False  # a call on it was answered
         # Guards against the newest of those accepted in one turn being closed as the idlest of them.
         self.serial = front.accepted = front.accepted + 1
         self.handle = front.callers.add(self)
@@ -54,6 +57,10 @@
         self.unfinished.heard(True, False)  # who says nothing at all is owed a close as well
         self.stream = Stream(front.loop, sock, self, limit=CALLER_LIMIT)
 
+    @property
+    def trust(self) -> int:
+        return 2 if self.stood else int(self.proven)
+
     def connected(self) -> None:
         pass  # it was accepted
 
@@ -90,8 +97,10 @@
     """A release on its way; ``line`` 0: no connection has taken it yet."""
 
     message: bytes
+    since: int
     until: int
     line: int = 0
+    trust: int = 0  # of the connection that took it
 
 
 @dataclass(slots=True)
@@ -105,6 +114,7 @@
     releasing: dict[str, Releasing] = field(default_factory=dict)
     listener: Listener | None = None
     accepted: int = 0
+    _again_at: int = 0  # when releases that wait are looked at again
     malformed_seen: Tally = field(init=False)
 
     def __post_init__(self) -> None:
@@ -290,6 +300,9 @@
             if caller is not None:
                 caller.open_calls.discard(call)
                 caller.stream.send(data)
+                if not caller.stood:
+                    caller.stood = True
+                    self._deliver()
             return
         extra = [("X-Later-Ms", str(-(-answer.stay_away_ns // MS)))] if answer.stay_away_ns > 0 else []
         self._end(call, caller, sip.response(STATUS[answer.kind], dialog.invite, extra))
@@ -312,22 +325,40 @@
     def _bye(self, call: str, uri: str, cause: int, caller: Caller | None) -> None:
         """No connection owns a call that stands: any will do, and else the next that opens."""
         data = sip.request("BYE", uri, self.address, call, 1, (("Reason", f"Q.850;cause={cause}"),))
-        release = self.releasing[call] = Releasing(data, self.loop.now + RELEASE_KEPT_NS)
+        now = self.loop.now
+        release = self.releasing[call] = Releasing(data, now, now + RELEASE_KEPT_NS)
         if caller is not None and caller.stream.open:
             self._hand_over(release, caller)
         else:
             self._deliver()
 
     def _hand_over(self, release: Releasing, caller: Caller) -> None:
-        release.line, release.until = caller.handle, min(release.until, self.loop.now + CROSSING_NS)
+        release.line, release.trust = caller.handle, caller.trust
+        if caller.stood:
+            release.until = min(release.until, self.loop.now + CROSSING_NS)
         caller.stream.send(release.message)
 
     def _deliver(self) -> None:
-        """What waits for a connection goes out on any that is open."""
-        caller = next((c for c in self.callers if c.stream.open), None)
-        for release in list(self.releasing.values()):
-            if caller is not None and release.line == 0:
-                self._hand_over(release, caller)
+        """What waits for a connection goes out on the best one open, and again once there is a better.
+
+        Guards against releases handed to those who hold connections and are no callers: a connection on which
+        a call was answered is believed at once, one that asked for something or has just come after a while.
+        """
+        if not self.releasing:
+            return
+        now = self.loop.now
+        open_ = [c for c in self.callers if c.stream.open]
+        best = max(open_, key=lambda c: (c.trust, c.idle_since), default=None)
+        again = False
+        for release in self.releasing.values():
+            if release.line and (best is None or release.trust >= best.trust):
+                continue
+            if best is not None and now - release.since >= (2 - best.trust) * PATIENCE_NS:
+                self._hand_over(release, best)
+            again = again or (best is not None and not release.line)
+        if again and self._again_at <= now:
+            self._again_at = now + PATIENCE_NS
+            self.loop.deadlines.at(self._again_at, self._deliver)
 
     def flushed(self) -> bool:
         return all(caller.stream.flushed for caller in self.callers)
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -570,6 +570,28 @@
         assert holders[-1].closed()
 
 
+def test_a_release_goes_to_a_caller_and_not_to_who_only_holds_a_connection() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, holder = desk.desk(), Caller(run.port)
+        holder.send("OPTIONS", B)
+        assert holder.take().status == 200
+        silent = Caller(run.port)
+        tell(peer, binary.RELEASE, A, cause=16)  # of a call that stood before a restart
+        assert holder.bye(A).call_id == A  # the best there is, after a while
+        caller = Caller(run.port)
+        caller.invite(C)
+        set_up(peer, C)
+        tell(peer, binary.ANSWER, C)
+        assert caller.bye(A).call_id == A  # and again where a call was answered
+        latest = Caller(run.port)
+        tell(peer, binary.RELEASE, B, cause=16)
+        assert caller.bye(B).call_id == B  # at once
+        for other in (silent, latest):
+            other.send("OPTIONS", C)
+            assert other.take().status == 200  # no release came before it
+
+
 def test_running_out_of_descriptors_stops_no_call() -> None:
     desk = Listening()
     with running(target("d1", desk.address, 1)) as run:
