Give each protocol a folder of its own and put the loop below the edges

Need: the sidecar and its import contracts want one folder a protocol, a loop that the edges may import, and a configuration that imports no wire. Change: files move only; wire/ holds sip, desk, bus, m3ua and etcd, the loop is arrowrail/loop.py, parse_address and the digits are state/address.py.

--- a/arrowrail/config/model.py
+++ b/arrowrail/config/model.py
@@ -13,8 +13,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
-from arrowrail.wire.isup import DIGITS
-from arrowrail.wire.stream import parse_address
+from arrowrail.state.address import DIGITS, parse_address
 
 
 def _address(text: str) -> str:
--- a/arrowrail/run/config.py
+++ b/arrowrail/run/config.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from arrowrail.wire.bus import BusEvent, event_of
+from arrowrail.wire.bus.messages import BusEvent, event_of
 from trackhatch.interface import Settings
 from trackhatch.simhost import read_settings
 
--- a/arrowrail/run/extras.py
+++ b/arrowrail/run/extras.py
@@ -6,14 +6,14 @@
 
 from arrowrail.config.model import M3uaTable, Operator
 from arrowrail.core import MS, Core
+from arrowrail.loop import Loop
 from arrowrail.run.config import Config
-from arrowrail.run.loop import Loop
 from arrowrail.state.directory import IN_SERVICE, Told
-from arrowrail.wire.etcd_client import EtcdClient
-from arrowrail.wire.m3ua_back import M3uaBack
-from arrowrail.wire.m3ua_front import M3uaFront
-from arrowrail.wire.m3ua_link import M3uaSettings
-from arrowrail.wire.m3ua_rules import ClassRule, NumberRule
+from arrowrail.wire.etcd.client import EtcdClient
+from arrowrail.wire.m3ua.back import M3uaBack
+from arrowrail.wire.m3ua.front import M3uaFront
+from arrowrail.wire.m3ua.link import M3uaSettings
+from arrowrail.wire.m3ua.rules import ClassRule, NumberRule
 
 SOURCE = "operator"
 
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -13,12 +13,12 @@
 from loguru import logger
 
 from arrowrail.core import MS, Core
+from arrowrail.loop import Loop
 from arrowrail.run.config import Config, from_environment
-from arrowrail.run.loop import Loop
 from arrowrail.run.wake import on_signal
-from arrowrail.wire.bus_client import BusClient
-from arrowrail.wire.desk_back import DeskBack
-from arrowrail.wire.sip_front import SipFront
+from arrowrail.wire.bus.client import BusClient
+from arrowrail.wire.desk.back import DeskBack
+from arrowrail.wire.sip.front import SipFront
 
 if TYPE_CHECKING:
     from arrowrail.config.model import Operator
--- a/arrowrail/run/wake.py
+++ b/arrowrail/run/wake.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from arrowrail.run.loop import READ, Loop
+from arrowrail.loop import READ, Loop
 
 STOP = (signal.SIGTERM, signal.SIGINT)
 RELOAD = signal.SIGHUP  # its default would end the process and every call in it
--- /dev/null
+++ b/arrowrail/wire/bus/__init__.py
@@ -0,0 +1,1 @@
+"""The event bus: its messages and the client that follows it."""
--- a/arrowrail/wire/bus_client.py
+++ b/arrowrail/wire/bus/client.py
@@ -7,9 +7,9 @@
 from loguru import logger
 
 from arrowrail.core import MS, Core
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
-from arrowrail.wire.bus import BusError, BusEvent, StreamParser, get
+from arrowrail.wire.bus.messages import BusError, BusEvent, StreamParser, get
 from arrowrail.wire.stream import Stream, connect
 
 # News counts as told 2 s after a break, 4 s after the stream stops: both hold with several tries to spare.
--- a/arrowrail/wire/desk_back.py
+++ b/arrowrail/wire/desk/back.py
@@ -8,10 +8,10 @@
 from loguru import logger
 
 from arrowrail.core import LINK_BROKE, MS, Q850_NORMAL, Core, Ended, Offer
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
-from arrowrail.wire import binary
-from arrowrail.wire.binary import DeskMessage
+from arrowrail.wire.desk import binary
+from arrowrail.wire.desk.binary import DeskMessage
 from arrowrail.wire.reconnect import Reconnect
 from arrowrail.wire.stream import Stream, connect
 from arrowrail.wire.unfinished import Tally, Unfinished
--- a/arrowrail/wire/etcd_client.py
+++ b/arrowrail/wire/etcd/client.py
@@ -8,9 +8,9 @@
 from loguru import logger
 
 from arrowrail.core import MS, Core
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
-from arrowrail.wire import etcd
+from arrowrail.wire.etcd import messages as etcd
 from arrowrail.wire.http import BodyParser, HttpError
 from arrowrail.wire.reconnect import FIRST_PAUSE_NS, LONGEST_PAUSE_NS
 from arrowrail.wire.stream import Stream, connect
--- a/arrowrail/wire/etcd.py
+++ b/arrowrail/wire/etcd/messages.py
@@ -9,7 +9,7 @@
 import orjson
 
 from arrowrail.state.directory import TERMINATED, Told
-from arrowrail.wire.bus import told_of
+from arrowrail.wire.bus.messages import told_of
 
 MAX_LINE = 1024 * 1024
 
--- a/arrowrail/wire/listener.py
+++ b/arrowrail/wire/listener.py
@@ -8,8 +8,8 @@
 
 from loguru import logger
 
-from arrowrail.run.loop import READ, Loop
-from arrowrail.wire.stream import parse_address
+from arrowrail.loop import READ, Loop
+from arrowrail.state.address import parse_address
 
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 AT_ONCE = 16  # accepted in one go: a flood holds up no calls, and who speaks is read before who comes next
--- a/arrowrail/wire/m3ua_back.py
+++ b/arrowrail/wire/m3ua/back.py
@@ -10,14 +10,15 @@
 from loguru import logger
 
 from arrowrail.core import LINK_BROKE, Q850_CUT, Core, Offer
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
+from arrowrail.state.address import DIGITS
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
-from arrowrail.wire import causes
-from arrowrail.wire.isup import DIGITS, UUI_MAX, Isup, IsupType
-from arrowrail.wire.m3ua import ProtocolData
-from arrowrail.wire.m3ua_link import ACTIVE, Association, M3uaSettings
-from arrowrail.wire.m3ua_rules import T1_NS, ClassRule
+from arrowrail.wire.m3ua import causes
+from arrowrail.wire.m3ua.isup import UUI_MAX, Isup, IsupType
+from arrowrail.wire.m3ua.link import ACTIVE, Association, M3uaSettings
+from arrowrail.wire.m3ua.messages import ProtocolData
+from arrowrail.wire.m3ua.rules import T1_NS, ClassRule
 from arrowrail.wire.reconnect import Reconnect
 from arrowrail.wire.stream import connect
 
--- a/arrowrail/wire/m3ua_front.py
+++ b/arrowrail/wire/m3ua/front.py
@@ -9,15 +9,15 @@
 from loguru import logger
 
 from arrowrail.core import MS, STANDS, Answer, Core, Offer, Request
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.slots import SlotTable
-from arrowrail.wire import causes
-from arrowrail.wire.isup import UUI_MAX, Isup, IsupType
 from arrowrail.wire.listener import Listener
-from arrowrail.wire.m3ua import ProtocolData
-from arrowrail.wire.m3ua_link import ACTIVE, DOWN, Association, M3uaSettings
-from arrowrail.wire.m3ua_rules import T1_NS, ClassRule, NumberRule
+from arrowrail.wire.m3ua import causes
+from arrowrail.wire.m3ua.isup import UUI_MAX, Isup, IsupType
+from arrowrail.wire.m3ua.link import ACTIVE, DOWN, Association, M3uaSettings
+from arrowrail.wire.m3ua.messages import ProtocolData
+from arrowrail.wire.m3ua.rules import T1_NS, ClassRule, NumberRule
 from arrowrail.wire.stream import Stream
 
 RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for an association to go out on
--- a/arrowrail/wire/isup.py
+++ b/arrowrail/wire/m3ua/isup.py
@@ -8,11 +8,12 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from arrowrail.state.address import DIGITS
+
 CIC_MAX = 0xFFF
 UUI_MAX = 255 - 1  # an optional parameter's length is one byte; the first of its bytes is the discriminator
 CALLED_NUMBER, CAUSE, CONGESTION, UUI, END = 0x04, 0x12, 0x27, 0x20, 0x00
 UUI_DISCRIMINATOR = 0x04  # of the "IA5 characters" kind (Q.931, 4.5.30)
-DIGITS = "0123456789ABCDE"
 CATEGORY_ORDINARY, CATEGORY_PRIORITY = 0x0A, 0x0B
 TMR_SPEECH = 0x00
 
--- a/arrowrail/wire/m3ua_link.py
+++ b/arrowrail/wire/m3ua/link.py
@@ -9,11 +9,12 @@
 from loguru import logger
 
 from arrowrail.core import MS
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
-from arrowrail.wire import isup, m3ua
-from arrowrail.wire.isup import Isup, IsupError
-from arrowrail.wire.m3ua import Error, Kind, M3uaError, Message, ProtocolData, Tag
+from arrowrail.wire.m3ua import isup
+from arrowrail.wire.m3ua import messages as m3ua
+from arrowrail.wire.m3ua.isup import Isup, IsupError
+from arrowrail.wire.m3ua.messages import Error, Kind, M3uaError, Message, ProtocolData, Tag
 from arrowrail.wire.stream import Stream
 from arrowrail.wire.unfinished import Tally, Unfinished
 
--- a/arrowrail/wire/reconnect.py
+++ b/arrowrail/wire/reconnect.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from arrowrail.core import MS
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.wire.stream import Stream
 
--- a/arrowrail/wire/sip_front.py
+++ b/arrowrail/wire/sip/front.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field, replace
 
 from arrowrail.core import FAILED, MS, REFUSED, STANDS, Answer, Core, Offer, Request
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
-from arrowrail.wire import sip
 from arrowrail.wire.listener import Listener
+from arrowrail.wire.sip import messages as sip
 from arrowrail.wire.stream import Stream
 from arrowrail.wire.unfinished import Tally, Unfinished
 
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -12,7 +12,8 @@
 
 from loguru import logger
 
-from arrowrail.run.loop import READ, WRITE, Loop
+from arrowrail.loop import READ, WRITE, Loop
+from arrowrail.state.address import parse_address
 
 READ_SIZE = 16 * 1024  # of one connection in one turn: a peer that floods waits its turn like the others
 LINGER_NS = 3_000_000_000  # for a peer that was told its last word to stop sending and close
@@ -54,11 +55,6 @@
         self.data, self.tag, self.offset = data, tag, 0
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def connect(loop: Loop, owner: Owner, address: str) -> Stream:
     """Begin to connect; an address that can't be tried is reported from the loop, like a refusal."""
     host, port = parse_address(address)
--- a/arrowrail/wire/unfinished.py
+++ b/arrowrail/wire/unfinished.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from arrowrail.core import MS
-from arrowrail.run.loop import Loop
+from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 
 LOG_PAUSE_NS = 5_000 * MS
--- a/examples/toy_call.py
+++ b/examples/toy_call.py
@@ -9,8 +9,8 @@
 import socket
 import sys
 
-from arrowrail.wire import sip
-from arrowrail.wire.stream import parse_address
+from arrowrail.state.address import parse_address
+from arrowrail.wire.sip import messages as sip
 
 
 def main() -> int:
--- a/examples/toy_desk.py
+++ b/examples/toy_desk.py
@@ -9,9 +9,9 @@
 import sys
 import threading
 
-from arrowrail.wire import binary
-from arrowrail.wire.binary import DeskMessage
-from arrowrail.wire.stream import parse_address
+from arrowrail.state.address import parse_address
+from arrowrail.wire.desk import binary
+from arrowrail.wire.desk.binary import DeskMessage
 
 CIRCUITS = 30
 HOLD_S = 3.0
--- a/tests/live.py
+++ b/tests/live.py
@@ -20,12 +20,14 @@
 from arrowrail.config.model import Operator
 from arrowrail.run.config import Config
 from arrowrail.run.main import Program
-from arrowrail.wire import binary, m3ua, sip
-from arrowrail.wire.bus import event_of
-from arrowrail.wire.isup import Isup, IsupType
-from arrowrail.wire.isup import decode as read_isup
-from arrowrail.wire.isup import encode as write_isup
-from arrowrail.wire.m3ua import Kind, Message, ProtocolData, Tag
+from arrowrail.wire.bus.messages import event_of
+from arrowrail.wire.desk import binary
+from arrowrail.wire.m3ua import messages as m3ua
+from arrowrail.wire.m3ua.isup import Isup, IsupType
+from arrowrail.wire.m3ua.isup import decode as read_isup
+from arrowrail.wire.m3ua.isup import encode as write_isup
+from arrowrail.wire.m3ua.messages import Kind, Message, ProtocolData, Tag
+from arrowrail.wire.sip import messages as sip
 from tests.test_simhost import INFO
 from trackhatch.simhost import read_settings
 
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -10,10 +10,14 @@
 import pytest
 
 from arrowrail.config.model import Operator
-from arrowrail.wire import binary, causes, m3ua, m3ua_front, m3ua_link
-from arrowrail.wire.isup import Isup, IsupType
-from arrowrail.wire.isup import decode as read_isup
-from arrowrail.wire.m3ua import Error, Kind, Tag
+from arrowrail.wire.desk import binary
+from arrowrail.wire.m3ua import causes
+from arrowrail.wire.m3ua import front as m3ua_front
+from arrowrail.wire.m3ua import link as m3ua_link
+from arrowrail.wire.m3ua import messages as m3ua
+from arrowrail.wire.m3ua.isup import Isup, IsupType
+from arrowrail.wire.m3ua.isup import decode as read_isup
+from arrowrail.wire.m3ua.messages import Error, Kind, Tag
 from tests.live import (
     BusStand,
     Caller,
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -17,7 +17,9 @@
 
 import pytest
 
-from arrowrail.wire import binary, bus_client, sip_front
+from arrowrail.wire.bus import client as bus_client
+from arrowrail.wire.desk import binary
+from arrowrail.wire.sip import front as sip_front
 from tests.live import (
     SDP,
     BusStand,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,12 +13,17 @@
 from arrowrail.state.deadlines import Deadlines
 from arrowrail.state.directory import Directory, Told
 from arrowrail.state.slots import SlotTable
-from arrowrail.wire import binary, bus, causes, etcd, isup, m3ua, sip
-from arrowrail.wire.binary import BinaryError, DeskMessage
-from arrowrail.wire.desk_back import read_release
-from arrowrail.wire.isup import Isup, IsupError, IsupType
-from arrowrail.wire.m3ua import Error, Kind, M3uaError, Message, ProtocolData, Tag
-from arrowrail.wire.sip_front import read_invite
+from arrowrail.wire.bus import messages as bus
+from arrowrail.wire.desk import binary
+from arrowrail.wire.desk.back import read_release
+from arrowrail.wire.desk.binary import BinaryError, DeskMessage
+from arrowrail.wire.etcd import messages as etcd
+from arrowrail.wire.m3ua import causes, isup
+from arrowrail.wire.m3ua import messages as m3ua
+from arrowrail.wire.m3ua.isup import Isup, IsupError, IsupType
+from arrowrail.wire.m3ua.messages import Error, Kind, M3uaError, Message, ProtocolData, Tag
+from arrowrail.wire.sip import messages as sip
+from arrowrail.wire.sip.front import read_invite
 
 
 def both_ways(make: Callable[[], Callable[[bytes], Any]], data: bytes) -> list[Any]:
