Add limits, pools and a door before the module for other installations

Need: a sidecar has to decide what one application may bring in and which exchanges a class may use now, before the decision module chooses.

--- a/arrowrail/config/folder.py
+++ b/arrowrail/config/folder.py
@@ -62,9 +62,10 @@
             read = TABLES[name].kind.read(values[name], r, name)
             return None if read is BAD else read
 
+        pools = table("pool") or {}
         v = Inventory(
-            table("site"), table("district") or {}, table("exchange") or {}, table("class") or {},
-            table("pool") or {}, loaded.whole,
+            table("site"), table("district") or {}, table("exchange") or {}, table("class") or {}, pools,
+            {name: pool.fallback for name, pool in pools.items()}, loaded.whole,
         )  # fmt: skip
         for rule in rules.INVENTORY_RULES:
             rule(v, self.faults)
--- a/arrowrail/config/rules.py
+++ b/arrowrail/config/rules.py
@@ -14,6 +14,7 @@
 from arrowrail.config import units
 from arrowrail.config.faults import Faults, Place, shown
 from arrowrail.config.records import Application, CallClass, District, Exchange, Pool, Site
+from arrowrail.pools.plan import fallback_order
 from arrowrail.state.address import parse_address
 
 RESERVED = 16  # descriptors of the process itself: its log, the loop, listeners and sources of the list
@@ -29,22 +30,10 @@
     exchanges: Mapping[str, Exchange]
     classes: Mapping[str, CallClass]
     pools: Mapping[str, Pool]
+    fallbacks: Mapping[str, tuple[str, ...]]
     whole: bool = True  # false: part of it could not be read, so what is missing proves nothing
 
 
-def pool_order(pools: Mapping[str, Pool], first: str) -> tuple[str, ...]:
-    """A pool, its fall-back pools in their order, and theirs behind them; each once, cycles cut."""
-    order: list[str] = []
-    waiting = [first]
-    while waiting:
-        name = waiting.pop(0)
-        if name in order or name not in pools:
-            continue
-        order.append(name)
-        waiting += pools[name].fallback
-    return tuple(order)
-
-
 def host_port(address: str) -> tuple[str, int]:
     """An address in one spelling: ``localhost`` and every form of an IP address as that address."""
     host, port = parse_address(address)
@@ -104,7 +93,8 @@
         before = seen.setdefault(exchange.point_code, exchange)
         if before is not exchange:
             faults.add("AR313", exchange.place("point_code"), key,
-                       f"{exchange.point_code} is {before.name}'s", other=before.place("point_code"))  # fmt: skip
+                       f"{exchange.point_code} is {before.name}'s",
+                       other=before.place("point_code"))  # fmt: skip
 
 
 def one_district_a_number(v: Inventory, faults: Faults) -> None:
@@ -237,8 +227,9 @@
             place = calls.place(f"pools.{district}")
             if district not in a.serves and a.serves:
                 faults.add("AR322", place, f"{key}.{district}",
-                           f"{district} is not among {', '.join(a.serves[:5])}", other=a.place("serves"))  # fmt: skip
-            order = pool_order(v.pools, pool)
+                           f"{district} is not among {', '.join(a.serves[:5])}",
+                           other=a.place("serves"))  # fmt: skip
+            order = fallback_order(v.fallbacks, pool)
             members = [v.exchanges[e] for name in order for e in v.pools[name].exchanges if e in v.exchanges]
             if members and all(e.state != "in_service" for e in members) and v.whole:
                 names = ", ".join(f"{e.name} is {e.state}" for e in members[:4])
@@ -248,12 +239,12 @@
 
 def limits(a: Application, v: Inventory, faults: Faults) -> None:
     key, lim = f"application.{a.name}.limits", a.limits
-    reached = {e for c in a.calls.values() for p in c.pools.values() for n in pool_order(v.pools, p)
+    reached = {e for c in a.calls.values() for p in c.pools.values() for n in fallback_order(v.fallbacks, p)
                for e in v.pools[n].exchanges if e in v.exchanges}  # fmt: skip
     circuits = sum(v.exchanges[e].circuits for e in reached)
     if reached and lim.open > circuits and v.whole:
         faults.add("AR310", lim.place("open"), f"{key}.open",
-                   f"{lim.open} open set-ups; {circuits} circuits of its {len(reached)} exchanges")  # fmt: skip
+                   f"{lim.open} set-ups; {circuits} circuits of its {len(reached)} exchanges")  # fmt: skip
     links = len(reached) * links_each(a.descriptors)
     need = lim.connections + RESERVED + links
     if need > a.descriptors:
@@ -328,7 +319,11 @@
 def used_pools(applications: Iterable[Application], v: Inventory, faults: Faults) -> None:
     apps = list(applications)
     used = {
-        n for a in apps for c in a.calls.values() for p in c.pools.values() for n in pool_order(v.pools, p)
+        n
+        for a in apps
+        for c in a.calls.values()
+        for p in c.pools.values()
+        for n in fallback_order(v.fallbacks, p)
     }
     for pool in v.pools.values():
         if pool.name not in used:
--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -23,6 +23,7 @@
 PAUSED_AFTER = ("no_answer", "connection_lost", "called_off")
 OVERDUE_NS = 10 * MS  # past the deadline: inside the slack of every known site, and time for the module
 ENDED_KEPT_NS = 30_000 * MS  # how long a late message for an ended call is recognised as such
+MOST_ENDED = 65_536  # of them: a flood of refused set-ups must not take the memory
 
 STANDS, REFUSED, FAILED = "stands", "refused", "failed"
 Q850_NORMAL, Q850_CUT = 16, 41
@@ -45,6 +46,8 @@
     redialled: bool = False
     came_back: bool = False
     via: int = -1
+    route: str = ""  # the class by which the module knows it, where that is not the caller's
+    district: str = ""  # named by the caller, where it is
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +90,8 @@
     not_before: int = 0
     timer: Deadline | None = None
     last: tuple[str, int] = ("", 0)  # outcome and cause of the last attempt
+    taken_ns: int = 0
+    let_in: bool = False  # the door counts it until its final answer
 
 
 class Front(Protocol):
@@ -108,6 +113,29 @@
     def release(self, desk: Desk, call: str, cause: int) -> None: ...
 
 
+NO_ROUTE, OVER_LIMIT = "no_route", "over_limit"  # outcomes of set-ups that the door turns away
+
+
+class Door(Protocol):
+    """What decides before the module, where an installation has it: routes, limits, the use of pools."""
+
+    def enter(self, now: int, line: object, offer: Offer) -> tuple[Offer, Answer | None]:
+        """The offer as it goes on, or the answer that turns it away."""
+
+    def settled(self, now: int, line: object, offer: Offer, took_ns: int) -> None:
+        """A set-up that was let in has its final answer, or its caller has gone."""
+
+    def time_out_ns(self, offer: Offer) -> int:
+        """How long an attempt may go unanswered; 0: until the caller's deadline."""
+
+    def carries(self, class_name: str) -> bool: ...
+    def listed(self, lines: Iterable[Told]) -> list[Told]:
+        """News of the list as it takes effect here."""
+
+    def told(self, desks: Iterable[Desk]) -> list[i.PoolNews]: ...
+    def attempt_over(self, now: int, desk: Desk, outcome: str, cause: int) -> list[i.PoolNews]: ...
+
+
 class Core:
     def __init__(self, settings: i.Settings, seed: int, deadlines: Deadlines) -> None:
         self.settings = settings
@@ -121,6 +149,8 @@
         self.fronts: list[Front] = []
         self.events: list[i.Event] = []
         self.listed = False
+        self.door: Door | None = None
+        self.turned_away: list[tuple[Request, Answer]] = []  # by the door, to be answered this turn
         self.unanswered = 0  # requests that are still owed their final answer
         self.defects = 0  # checks that fired: each is a defect of ours to find
 
@@ -139,15 +169,27 @@
         self.by_call[offer.call] = request.handle
         self.unanswered += 1
         handle = request.handle
+        if self.door is not None:
+            request.taken_ns = self.now
+            offer, refusal = self.door.enter(self.now, (id(front), line), offer)
+            request.offer = offer
+            if refusal is not None:
+                self.turned_away.append((request, refusal))
+                return True
+            request.let_in = True
         request.timer = self.deadlines.at(offer.deadline_ns, lambda: self._deadline(handle))
         self.events.append(
             i.CallOffered(
-                offer.call, offer.class_name, "", offer.destination, offer.key, offer.width,
+                offer.call, offer.route or offer.class_name, "", offer.destination, offer.key, offer.width,
                 offer.deadline_ns, 0, offer.in_transit, offer.redialled, offer.came_back, offer.via,
             )
         )  # fmt: skip
         return True
 
+    def carries(self, class_name: str) -> bool:
+        """Whether calls of the class can be taken at all."""
+        return self.door.carries(class_name) if self.door is not None else class_name in self.module.kinds
+
     def find(self, call: str) -> Request | None:
         return self.requests.get(self.by_call.get(call, -1))
 
@@ -192,6 +234,9 @@
             return  # told twice
         request.stands = True
         self.unanswered -= 1
+        self._settled(request)
+        if self.door is not None:
+            self.events += self.door.attempt_over(self.now, desk, "served", 0)
         self._cancel(request, attempt)
         self.events.append(i.CallStands(call, desk.office, attempt.number, self.now - attempt.sent_ns))
         request.front.answer(request, Answer(STANDS, description))
@@ -239,6 +284,18 @@
                 request.front.release(request, Q850_CUT)
                 self._forget(request)
 
+    def release_all(self, front: Front, cause: int) -> int:
+        """Calls that stand for a front whose callers have gone for good: released toward the exchanges."""
+        released = 0
+        for request in self.requests:
+            attempt = request.out
+            if request.front is front and request.stands and attempt is not None:
+                self._back(attempt.desk).release(attempt.desk, request.offer.call, cause)
+                self._attempt_over(request, attempt, "called_off", 0, True)
+                self._forget(request)
+                released += 1
+        return released
+
     def standing_at(self, desk: Desk) -> bool:
         return any(r.stands and r.out is not None and r.out.desk is desk for r in self.requests)
 
@@ -247,6 +304,8 @@
 
     def list_news(self, source: str, whole: bool, lines: Iterable[Told]) -> None:
         """News of the exchange list, whichever source tells it."""
+        if self.door is not None:
+            lines = self.door.listed(lines)
         usable = [told for told in lines if told.back in self.backs]
         changed = self.directory.apply(self.now, source, whole, usable)
         if not changed:
@@ -257,6 +316,8 @@
         )
         self.events.append(i.ExchangeList("update" if self.listed else "restored", entries))
         self.listed = True
+        if self.door is not None:
+            self.events += self.door.told(changed)
         for desk in changed:
             if desk.told.exchange == self.settings.own_exchange:
                 continue  # nothing is ever sent to the own exchange
@@ -274,6 +335,8 @@
         """Hand what this turn brought to the module, as one batch, and carry its actions out."""
         while self.ended and next(iter(self.ended.values())) < self.now:
             del self.ended[next(iter(self.ended))]
+        if self.turned_away:
+            self._turn_away()
         if not self.events:
             return
         events, self.events = self.events, []
@@ -293,6 +356,14 @@
                 logger.exception("could not carry out {}", action)
                 self.defects += 1
 
+    def _turn_away(self) -> None:
+        """What the door did not let in gets its one answer in the turn in which it came."""
+        refused, self.turned_away = self.turned_away, []
+        for request, answer in refused:
+            if self.requests.get(request.handle) is request:
+                self._forget(request)
+                request.front.answer(request, answer)
+
     def _carry_out(self, action: i.Action) -> None:
         match action:
             case i.SetUp(call, office, time_out):
@@ -325,6 +396,8 @@
                 request.attempts += 1
             self.events.append(i.AttemptEnded(call, office, number, "not_sent", 0, request is None, 0, None))
             return
+        if self.door is not None:
+            time_out = time_out or self.door.time_out_ns(request.offer)
         attempt = Attempt(request.attempts, desk, self.now)
         request.attempts += 1
         request.out = attempt
@@ -408,6 +481,8 @@
             attempt.timer.cancel()
         if outcome in PAUSED_AFTER:
             request.not_before = self.now + self.settings.release_ns
+        if self.door is not None:
+            self.events += self.door.attempt_over(self.now, attempt.desk, outcome, cause)
         self.events.append(
             i.AttemptEnded(
                 request.offer.call, attempt.desk.office, attempt.number, outcome,
@@ -423,11 +498,20 @@
     def _forget(self, request: Request) -> None:
         if not request.stands:
             self.unanswered -= 1
+            self._settled(request)
         if request.timer is not None:
             request.timer.cancel()
         self.requests.remove(request.handle)
         del self.by_call[request.offer.call]
         self.ended[request.offer.call] = self.now + ENDED_KEPT_NS
+        if len(self.ended) > MOST_ENDED:
+            del self.ended[next(iter(self.ended))]
+
+    def _settled(self, request: Request) -> None:
+        if request.let_in and self.door is not None:
+            request.let_in = False
+            line = (id(request.front), request.line)
+            self.door.settled(self.now, line, request.offer, self.now - request.taken_ns)
 
     def _back(self, desk: Desk) -> Back:
         return self.backs[desk.told.back]
--- /dev/null
+++ b/arrowrail/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What one application may bring in: decided without I/O or clocks."""
--- a/arrowrail/wire/m3ua/causes.py
+++ b/arrowrail/wire/m3ua/causes.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from arrowrail.core import FAILED, Answer, Ended
+from arrowrail.core import FAILED, NO_ROUTE, OVER_LIMIT, Answer, Ended
 
 NORMAL = 16
 
@@ -52,6 +52,8 @@
     ("connection_lost", None): 38,
     ("no_answer", None): 38,
     ("called_off", None): 38,
+    (NO_ROUTE, None): 1,
+    (OVER_LIMIT, None): 42,
 }
 FAILED_CAUSES: dict[tuple[str, int | None], int] = {("no_answer", None): 102}
 FAILED_OTHERWISE = 41
--- a/arrowrail/wire/sip/front.py
+++ b/arrowrail/wire/sip/front.py
@@ -6,7 +6,7 @@
 import socket
 from dataclasses import dataclass, field, replace
 
-from arrowrail.core import FAILED, MS, REFUSED, STANDS, Answer, Core, Offer, Request
+from arrowrail.core import FAILED, MS, NO_ROUTE, REFUSED, STANDS, Answer, Core, Offer, Request
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.wire.listener import Listener
@@ -114,6 +114,7 @@
     releasing: dict[str, Releasing] = field(default_factory=dict)
     listener: Listener | None = None
     accepted: int = 0
+    most_callers: int = 0  # connections at a time, where a limit is set; 0: what descriptors leave
     _again_at: int = 0  # when releases that wait are looked at again
     malformed_seen: Tally = field(init=False)
 
@@ -132,6 +133,8 @@
         self._deliver()
 
     def _room(self) -> bool:
+        if self.most_callers:
+            return len(self.callers) + len(self.loop.leaving) < self.most_callers
         return len(self.callers) + len(self.loop.leaving) < max(8, self.max_sockets - RESERVED)
 
     def _close_idlest(self) -> bool:
@@ -250,11 +253,11 @@
     def _invite(self, caller: Caller, message: sip.SipMessage) -> None:
         call = message.call_id
         try:
-            offer = read_invite(message, self.loop.now)
-            if offer.class_name not in self.core.module.kinds:
+            offer = read_invite(message, self.loop.now, self.core.door is not None)
+            if not self.core.carries(offer.class_name):
                 raise ValueError("no such class")
             request = self.core.find(call)
-            if request is not None and not same_call(request.offer, offer):
+            if request is not None and not same_call(request.offer, offer, self.core.door is not None):
                 raise ValueError("the id of another call")
         except ValueError as wrong:
             self.malformed(caller, sip.Malformed(400, str(wrong), message, False))
@@ -305,7 +308,8 @@
                     self._deliver()
             return
         extra = [("X-Later-Ms", str(-(-answer.stay_away_ns // MS)))] if answer.stay_away_ns > 0 else []
-        self._end(call, caller, sip.response(STATUS[answer.kind], dialog.invite, extra))
+        status = 404 if answer.outcome == NO_ROUTE else STATUS[answer.kind]
+        self._end(call, caller, sip.response(status, dialog.invite, extra))
 
     def _end(self, call: str, caller: Caller | None, data: bytes) -> None:
         self.dialogs.pop(call, None)
@@ -371,8 +375,10 @@
 FIGURE = re.compile(r"-?[0-9]{1,12}")
 
 
-def same_call(one: Offer, other: Offer) -> bool:
-    """Whether two set-ups ask for the same, but for the time at which they came."""
+def same_call(one: Offer, other: Offer, routed: bool = False) -> bool:
+    """Whether two set-ups ask for the same, but for the time at which they came, and where they are led."""
+    if routed:
+        one = replace(one, destination=-1, width=1, route="")
     return replace(one, deadline_ns=0) == replace(other, deadline_ns=0)
 
 
@@ -383,10 +389,13 @@
     return int(text)
 
 
-def read_invite(message: sip.SipMessage, now: int) -> Offer:
-    """The request that a set-up asks for; ``ValueError`` names the field that is missing or wrong."""
+def read_invite(message: sip.SipMessage, now: int, routed: bool = False) -> Offer:
+    """The request that a set-up asks for; ``ValueError`` names the field that is missing or wrong.
+
+    ``routed``: the way follows from the number or ``X-District``, so that no facts are needed.
+    """
     headers = message.headers
-    for name in ("subject", "x-patience", "x-facts"):
+    for name in ("subject", "x-patience") if routed else ("subject", "x-patience", "x-facts"):
         if name not in headers:
             raise ValueError(f"no {name}")
     number = message.uri.removeprefix("sip:").partition("@")[0]
@@ -396,10 +405,15 @@
         raise ValueError("Call-ID is not 16 hex digits")
     if not message.body:
         raise ValueError("no description")
+    patience = _figure(headers["x-patience"], 0, 86_400_000)
+    if routed:
+        return Offer(
+            message.call_id, headers["subject"], number, int(number, 16), -1, 1, now + patience * MS,
+            message.body, redialled="x-retry" in headers, district=headers.get("x-district", ""),
+        )  # fmt: skip
     facts = dict(part.split(":", 1) for part in headers["x-facts"].split(";") if ":" in part)
     if "dest" not in facts:
         raise ValueError("no dest among the facts")
-    patience = _figure(headers["x-patience"], 0, 86_400_000)
     return Offer(
         message.call_id, headers["subject"], number, int(number, 16), _figure(facts["dest"], 0, 1 << 20),
         _figure(facts.get("width", "1"), 1, 1024), now + patience * MS, message.body,
--- a/trackhatch/choice.py
+++ b/trackhatch/choice.py
@@ -276,6 +276,7 @@
             i.GroupReport: lambda e: self.read_report(self.offices.get(e.office), e.report),
             i.AttemptEnded: self.attempt_ended, i.CallStands: self.call_stands, i.TimerDue: self.timer_due,
             i.CallerGone: self.caller_gone, i.ExchangeList: self.list_news, i.PeerNote: self.peer_note,
+            i.PoolNews: self.pool_news,
         }  # fmt: skip
         self.offices: dict[int, Office] = {}
         self.groups: dict[int, Group] = {}  # by exchange, whichever processor stands there
@@ -479,6 +480,8 @@
         if call.attempts < self.s.max_attempts and self.now < call.o.deadline_ns:
             best_score, best = self.best_route(call)
             direct = self.in_service.get(call.o.destination)
+            if direct is not None and not self.in_pools(call, direct):
+                direct = None
             if may_wait and not call.o.in_transit and call.waits_until == 0 and direct is not None:
                 untried = best is not direct and direct.entry.office not in call.tried
                 if untried and self.wait_score(call, direct) > best_score:
@@ -744,6 +747,19 @@
         if self.s.discovery == "ask" and not self.asked:
             self.ask_list()
 
+    def in_pools(self, call: Call, office: Office) -> bool:
+        pools = () if self.s.layout == "meshed" else self.pools.get(call.kind.name, ())
+        return not pools or office.entry.exchange in pools
+
+    def pool_news(self, event: i.PoolNews) -> None:
+        """A call that waits for a circuit where its class may no longer go is decided anew."""
+        self.pools[event.class_name] = event.exchanges or (-1,)  # no exchange: none, where () is any
+        for office in [self.offices[n] for n, queue in self.waiting.items() if queue and n in self.offices]:
+            for call in [self.calls[name] for name in self.waiting[office.entry.office]]:
+                if not self.in_pools(call, office):
+                    self.stop_waiting(call)
+                    self.decide(call, may_wait=False)
+
     def ask_list(self) -> None:
         self.asked = True
         self.acts.append(i.FollowList())
--- a/trackhatch/interface.py
+++ b/trackhatch/interface.py
@@ -196,8 +196,24 @@
     text: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PoolNews:
+    """The exchanges that a class of the layout "groups" may use from now on; empty: none."""
+
+    class_name: str
+    exchanges: tuple[int, ...]
+
+
 Event = (
-    ExchangeList | CallOffered | CallStands | AttemptEnded | GroupReport | CallerGone | TimerDue | PeerNote
+    ExchangeList
+    | CallOffered
+    | CallStands
+    | AttemptEnded
+    | GroupReport
+    | CallerGone
+    | TimerDue
+    | PeerNote
+    | PoolNews
 )
 
 # Actions
