Run a sidecar beside one application, and drill three of them with stand-ins

Need: the operators want the program beside each application, started from the records alone. Change: package sidecar (records compiled to settings, pools and limits; list of several sources; a door that joins the decisions; reading and checking in a process of its own, at the start and at SIGHUP), stand-in exchange, application and event bus in lab, a judge of their ledgers, and the drill sidecar on the new command line; logs as text or JSON.

--- /dev/null
+++ b/arrowrail/cli/__init__.py
@@ -0,0 +1,24 @@
+"""The operators' command line: one module a sub-command, each imported only when it is named.
+
+Exit codes of all commands: 0 good; 1 faults in what was given, or a drill that failed; 2 wrong use of the
+command line; 3 a port that can't be listened on.
+"""
+
+from __future__ import annotations
+
+import typer
+
+app = typer.Typer(
+    name="arrowrail", help="The call controller: sidecars, their configuration, drills.",
+    no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
+)  # fmt: skip
+
+
+def main() -> int:
+    from arrowrail.cli import config, drill, sidecar
+
+    app.add_typer(config.app, name="config")
+    app.command("sidecar")(sidecar.sidecar)
+    app.command("drill")(drill.drill)
+    app(prog_name="python -m arrowrail")
+    return 0
--- /dev/null
+++ b/arrowrail/cli/drill.py
@@ -0,0 +1,44 @@
+"""``arrowrail drill``: hard cases played with real processes on loopback."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+
+def drill(
+    name: Annotated[str, typer.Argument(help="sidecar; 'list' names all")],
+    seed: Annotated[int, typer.Option(help="draws the times and faults; any must pass")] = 1,
+    as_json: Annotated[bool, typer.Option("--json", help="the result as one JSON object")] = False,
+    short: Annotated[bool, typer.Option("--short", help="a shorter play of the same cases")] = False,
+    keep: Annotated[Path | None, typer.Option(help="an empty folder that keeps ledgers and logs")] = None,
+) -> None:
+    """Play a drill; exit 0 where no rule was broken, 1 where one was."""
+    import orjson
+
+    from arrowrail.lab.drills import NAMES, load
+
+    if name == "list":
+        for known, what in NAMES.items():
+            typer.echo(f"{known}: {what}")
+        return
+    try:
+        play = load(name)
+    except KeyError:
+        raise typer.BadParameter(f"no drill {name!r}; there are: {', '.join(NAMES)}") from None
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = keep if keep is not None else Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        outcome = play(seed, folder.resolve(), short)
+    if as_json:
+        typer.echo(orjson.dumps(outcome.as_json()).decode())
+    else:
+        for key, value in outcome.figures.items():
+            typer.echo(f"{key}: {value}")
+        for broken in outcome.broken[:50]:
+            typer.echo(f"BROKEN: {broken}")
+        typer.echo(f"{name}, seed {seed}: {'passed' if outcome.passed else 'FAILED'}")
+    raise typer.Exit(0 if outcome.passed else 1)
--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -129,7 +129,7 @@
         """How long an attempt may go unanswered; 0: until the caller's deadline."""
 
     def carries(self, class_name: str) -> bool: ...
-    def listed(self, lines: Iterable[Told]) -> list[Told]:
+    def listed(self, source: str, whole: bool, lines: Iterable[Told]) -> tuple[str, bool, list[Told]]:
         """News of the list as it takes effect here."""
 
     def told(self, desks: Iterable[Desk]) -> list[i.PoolNews]: ...
@@ -305,7 +305,7 @@
     def list_news(self, source: str, whole: bool, lines: Iterable[Told]) -> None:
         """News of the exchange list, whichever source tells it."""
         if self.door is not None:
-            lines = self.door.listed(lines)
+            source, whole, lines = self.door.listed(source, whole, lines)
         usable = [told for told in lines if told.back in self.backs]
         changed = self.directory.apply(self.now, source, whole, usable)
         if not changed:
--- /dev/null
+++ b/arrowrail/lab/drills/__init__.py
@@ -0,0 +1,42 @@
+"""Drills by name: each plays the hard cases of one part with real processes, and judges what was seen."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from importlib import import_module
+from pathlib import Path
+from typing import Any
+
+NAMES = {"sidecar": "three sidecars, their applications and exchanges: surge, drain, reload, kills"}
+
+
+@dataclass(slots=True)
+class Outcome:
+    """A drill's result; it has passed where nothing is broken."""
+
+    name: str
+    seed: int
+    broken: list[str]
+    figures: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def passed(self) -> bool:
+        return not self.broken
+
+    def as_json(self) -> dict[str, Any]:
+        return {
+            "drill": self.name, "seed": self.seed, "passed": self.passed, "broken": self.broken[:50],
+            "breaches": len(self.broken), "figures": self.figures,
+        }  # fmt: skip
+
+
+Play = Callable[[int, Path, bool], Outcome]
+
+
+def load(name: str) -> Play:
+    """``KeyError`` for a name that is none."""
+    if name not in NAMES:
+        raise KeyError(name)
+    play: Play = import_module(f"arrowrail.lab.drills.{name}").play
+    return play
--- /dev/null
+++ b/arrowrail/lab/drills/sidecar.py
@@ -0,0 +1,280 @@
+"""The sidecar drill: three applications, each beside its sidecar, over five stand-in exchanges.
+
+What is played, at times drawn from the seed: the third application surges to five times its limit, partly on
+one connection; an exchange drains by the event bus; a reload takes an exchange out of a pool, and one file is
+found half written; an exchange resets its connections; after the surge one sidecar is killed and started
+again under load, and one application dies with set-ups open and calls standing.
+"""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from arrowrail.lab import judge
+from arrowrail.lab.drills import Outcome
+from arrowrail.lab.judge import MS, Verdict
+from arrowrail.lab.ledger import read
+from arrowrail.lab.processes import Crew, free_ports, listens, until
+
+S = 1_000 * MS
+APPS = ("lifts", "panels", "engineers")
+EXCHANGES = {"fuk-1": "fukuoka", "fuk-2": "fukuoka", "kum-1": "kumamoto", "kum-2": "kumamoto",
+             "kag-1": "kagoshima"}  # fmt: skip
+POOLS = {"fukuoka": ["fuk-1", "fuk-2"], "kumamoto": ["kum-1", "kum-2"]}
+NUMBERS = {"fukuoka": "092", "kumamoto": "096", "kagoshima": "099"}
+LIMIT_OPEN, LIMIT_RATE, RATE, SURGE = 30, 25, 12.0, 10.0  # a surge of ten times 12 is five times 25
+RELOAD_BOUND = 4 * S  # a reload is in force by then: the folder's rest, its check and its hand-over
+ORPHANS_S = 2
+ORDINARY_SHARE = 0.99
+MOST_ATTEMPTS = 2
+PAUSE = 300 * MS
+DRAIN_GRACE = 500 * MS
+
+
+def _inventory(ports: dict[str, int], pools: dict[str, list[str]]) -> str:
+    lines = ['site: {label: "drill", controllers: 3}']
+    lines += [f'district: {name}: numbers: ["{prefix}"]' for name, prefix in NUMBERS.items()]
+    lines += [
+        'class: "alarm-video": {worth: 4, wanted: 2500ms, give_up: 9s, holding: 2s}',
+        'class: "engineer-call": {worth: 3, wanted: 2s, give_up: 9s, holding: 2s}',
+        'class: "status-report": {worth: 1, wanted: 2s, give_up: 9s, holding: 2s}',
+    ]
+    lines += [
+        f'exchange: "{name}": {{district: district.{district}, address: "127.0.0.1:{ports[name]}", '
+        "circuits: 200}"
+        for name, district in EXCHANGES.items()
+    ]
+    for name, members in pools.items():
+        listed = ", ".join(f"exchange.{m}" for m in members)
+        lines.append(f"pool: {name}: {{exchanges: [{listed}], fallback: [pool.last]}}")
+    lines.append("pool: last: {exchanges: [exchange.kag-1]}")
+    return "\n".join(lines) + "\n"
+
+
+def _application(name: str, port: int, bus: int) -> str:
+    pools = "{fukuoka: pool.fukuoka, kumamoto: pool.kumamoto}"
+    calls = "\n".join(
+        f'    "{kind}": {{give_up: 3s, time_out: 1200ms, pools: {pools}}}'
+        for kind in ("alarm-video", "engineer-call", "status-report")
+    )
+    return f"""include "inventory.rail"
+application: {name}: {{
+  listen: sip: "127.0.0.1:{port}"
+  serves: [district.fukuoka, district.kumamoto]
+  calls: {{
+{calls}
+  }}
+  limits: {{open: {LIMIT_OPEN}, rate: {LIMIT_RATE}/s, connections: 20}}
+  attempts: {MOST_ATTEMPTS}
+  list: {{kind: "bus", address: "127.0.0.1:{bus}"}}
+  orphans: {ORPHANS_S}s
+  log: form: "json"
+}}
+"""
+
+
+def _targets(ports: dict[str, int], states: dict[str, str]) -> list[dict[str, Any]]:
+    return [
+        {"uid": name, "endpoint": f"127.0.0.1:{ports[name]}", "az": "", "pod_group": 0,
+         "state": states.get(name, "in_service"), "boot_ms": 0}
+        for name in EXCHANGES
+    ]  # fmt: skip
+
+
+class Stage:
+    """Sets the processes up, plays the cases and notes when each was told."""
+
+    def __init__(self, seed: int, folder: Path, short: bool) -> None:
+        self.random = random.Random(seed)
+        self.folder, self.short = folder, short
+        names = [*EXCHANGES, *APPS, "bus"]
+        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self.crew = Crew(folder)
+        self.told: dict[str, int] = {}
+        self.seconds = 9.0 if short else 16.0
+
+    def ledger(self, name: str) -> Path:
+        return self.folder / f"{name}.jsonl"
+
+    def lines(self, name: str) -> list[dict[str, Any]]:
+        return list(read(self.ledger(name)))
+
+    def write(self, name: str, text: str) -> None:
+        """As the tool does it: a whole file takes the place of the old one."""
+        temporary = self.folder / "conf" / f".{name}.new"
+        temporary.write_text(text, encoding="utf-8")
+        temporary.replace(self.folder / "conf" / name)
+
+    def start_sidecar(self, app: str) -> None:
+        self.crew.start(f"sidecar-{app}", "arrowrail", "sidecar", app, "--config", str(self.folder / "conf"))
+        until(lambda: listens(self.ports[app]), f"sidecar {app}")
+
+    def start_app(self, app: str, name: str, seconds: float, surge: str, narrow: bool) -> None:
+        arguments = ["--to", f"127.0.0.1:{self.ports[app]}", "--ledger", str(self.ledger(name)),
+                     "--seed", str(self.random.randrange(1 << 30)), "--rate", str(RATE),
+                     "--seconds", str(seconds), "--surge", surge, "--lines", "4"]  # fmt: skip
+        for kind, weight in (("alarm-video", 1), ("engineer-call", 2), ("status-report", 7)):
+            arguments += ["--class", f"{kind}={weight}"]
+        for prefix in ("092", "096"):
+            arguments += ["--number", prefix]
+        self.crew.start(name, "arrowrail.lab.application", *arguments, *(["--narrow"] if narrow else []))
+
+    def set_up(self) -> None:
+        (self.folder / "conf").mkdir()
+        self.write("inventory.rail", _inventory(self.ports, POOLS))
+        for app in APPS:
+            self.write(f"{app}.rail", _application(app, self.ports[app], self.ports["bus"]))
+        cut = self.random.choice(("kum-1", "kum-2"))
+        cut_at = self.random.uniform(4.0, 6.0)
+        for name in EXCHANGES:
+            fault = ["--fault", f"cut:{cut_at:.2f}:1"] if name == cut else []
+            self.crew.start(name, "arrowrail.lab.exchange", "--listen", f"127.0.0.1:{self.ports[name]}",
+                            "--ledger", str(self.ledger(name)), "--circuits", "200",
+                            "--seed", str(self.random.randrange(1 << 30)), *fault)  # fmt: skip
+        self.crew.start("bus", "arrowrail.lab.bus", "--listen", f"127.0.0.1:{self.ports['bus']}",
+                        "--ledger", str(self.ledger("bus")))  # fmt: skip
+        for name in (*EXCHANGES, "bus"):
+            until(lambda n=name: listens(self.ports[n]), name)  # type: ignore[misc]
+        self.crew.tell("bus", orjson.dumps(_targets(self.ports, {})))
+        for app in APPS:
+            self.start_sidecar(app)
+
+    def reload(self) -> None:
+        for app in APPS:
+            self.crew.send(f"sidecar-{app}", signal.SIGHUP)
+
+    def play(self) -> None:
+        began = time.monotonic()
+        narrow = self.random.random() < 0.5
+
+        def at(seconds: float) -> None:
+            time.sleep(max(0.0, began + seconds - time.monotonic()))
+
+        surge_from, surge_s = 2.0, self.seconds / 2 - 1.0
+        for app in APPS:
+            surge = f"{SURGE}:{surge_from}:{surge_s}" if app == APPS[2] else "1:0:0"
+            self.start_app(app, f"app-{app}", self.seconds, surge, narrow)
+        self.told["surge"] = time.time_ns() + int(surge_from * S)
+        at(surge_from + self.random.uniform(0.2, 0.6))
+        drained = self.random.choice(POOLS["fukuoka"])
+        self.told["drain"], self.drained = time.time_ns(), drained
+        self.crew.tell("bus", orjson.dumps(_targets(self.ports, {drained: "terminating"})))
+        at(surge_from + 0.8)
+        # A file found half written: the reload must leave everything as it is.
+        broken = _inventory(self.ports, POOLS)
+        (self.folder / "conf" / "inventory.rail").write_text(broken[: len(broken) // 2], encoding="utf-8")
+        self.reload()
+        time.sleep(self.random.uniform(0.05, 0.4))
+        taken_out = self.random.choice(POOLS["kumamoto"])
+        self.taken_out = taken_out
+        kept = [m for m in POOLS["kumamoto"] if m != taken_out]
+        self.write("inventory.rail", _inventory(self.ports, POOLS | {"kumamoto": kept}))
+        self.told["taken out"] = time.time_ns()
+        self.reload()
+        at(surge_from + surge_s)
+        self.told["surge over"] = time.time_ns()
+        at(surge_from + surge_s + 0.6)
+        self.told["kill"] = time.time_ns()
+        self.crew.kill("sidecar-lifts")
+        self.crew.kill("app-panels")
+        self.told["app killed"] = time.time_ns()
+        time.sleep(self.random.uniform(0.1, 0.5))
+        self.start_sidecar("lifts")
+        self.told["back"] = time.time_ns()
+        at(self.seconds)
+        time.sleep(4.5)  # the last calls have their answers, and the last that stand are over
+        self.told["end"] = time.time_ns()
+
+    def stop(self) -> dict[str, int]:
+        codes = {app: self.crew.end(f"sidecar-{app}") for app in APPS}
+        for name in list(self.crew.running):
+            self.crew.end(name)
+        return codes
+
+
+def play(seed: int, folder: Path, short: bool = False) -> Outcome:
+    """Play it in an empty folder; some 15 s, or 25 s in its long form."""
+    stage = Stage(seed, folder, short)
+    verdict = Verdict()
+    with stage.crew:
+        stage.set_up()
+        stage.play()
+        verdict.broken += stage.crew.died()
+        codes = stage.stop()
+    for app, code in codes.items():
+        verdict.need(code == 0, f"sidecar {app} ended with {code}")
+    _judge(stage, verdict)
+    return Outcome("sidecar", seed, verdict.broken, verdict.figures)
+
+
+def _judge(stage: Stage, verdict: Verdict) -> None:
+    exchanges = {name: stage.lines(name) for name in EXCHANGES}
+    told = stage.told
+    by_call = judge.attempts(exchanges)
+    excused: set[str] = set()
+    for app in APPS:
+        lines = stage.lines(f"app-{app}")
+        if app == "panels":  # the application died: what it had sent last has nobody to hear the answer
+            excused |= {line["call"] for line in lines if line["what"] == "sent"
+                        and line["t"] > told["app killed"] - judge.LONGEST_TRY}  # fmt: skip
+        if app == "lifts":
+            excused |= {line["call"] for line in lines if line["what"] == "sent"
+                        and told["kill"] - 4 * S < line["t"] < told["back"]}  # fmt: skip
+        calls = judge.one_answer(verdict, app, lines, told["app killed"] if app == "panels" else 0)
+        share, count = judge.stood_share(calls, lines, told["surge"], told["surge over"])
+        verdict.figures[f"{app}: share that stood in the surge"] = round(share, 4)
+        verdict.figures[f"{app}: calls in the surge"] = count
+        if app != APPS[2]:
+            verdict.need(share >= ORDINARY_SHARE, f"{app}: {share:.4f} of {count} calls stood in the surge")
+            later, after = judge.stood_share(calls, lines, told["back"] + S, told["end"])
+            verdict.figures[f"{app}: share that stood after the kills"] = round(later, 4)
+            if app == "lifts":
+                verdict.need(
+                    after > 0 and later >= ORDINARY_SHARE, f"{app}: {later:.4f} of {after} stood later"
+                )
+        else:
+            refused = [a for found in calls.values() for a in found if a["status"] == 503]
+            verdict.figures["engineers: refused"] = len(refused)
+            verdict.need(bool(refused), "the surge met no limit")
+            verdict.need(all(a["later"] > 0 for a in refused), "a refusal without X-Later-Ms")
+            _at_once(verdict, lines)
+        if app != "panels":
+            judge.released(verdict, app, exchanges, lines, calls, 8 * S, told["end"])
+    judge.attempt_rules(verdict, by_call, MOST_ATTEMPTS, PAUSE, excused)
+    judge.nothing_new(verdict, stage.drained, exchanges[stage.drained], told["drain"], DRAIN_GRACE)
+    judge.nothing_new(verdict, stage.taken_out, exchanges[stage.taken_out], told["taken out"],
+                      RELOAD_BOUND + DRAIN_GRACE)  # fmt: skip
+    verdict.figures["set-ups"] = sum(len(a) for a in by_call.values())
+    verdict.figures["calls tried again"] = sum(1 for a in by_call.values() if len(a) > 1)
+    _orphans(verdict, stage, exchanges)
+
+
+def _at_once(verdict: Verdict, lines: list[dict[str, Any]]) -> None:
+    """What is over the limit is refused at once: half of the refusals within 100 ms, as a bound for haste."""
+    sent = {line["call"]: line["t"] for line in lines if line["what"] == "sent"}
+    refused = [a for a in lines if a["what"] == "answer" and a["status"] == 503 and a["call"] in sent]
+    waits = sorted(a["t"] - sent[a["call"]] for a in refused)
+    if waits:
+        verdict.figures["refused after, median ms"] = round(waits[len(waits) // 2] / MS, 1)
+        verdict.need(waits[len(waits) // 2] < 100 * MS, "refusals are held back")
+
+
+def _orphans(verdict: Verdict, stage: Stage, exchanges: dict[str, list[dict[str, Any]]]) -> None:
+    """Calls of the application that died are released, or over by themselves, soon after."""
+    mine = {line["call"] for line in stage.lines("app-panels") if line["what"] == "sent"}
+    limit = stage.told["app killed"] + (ORPHANS_S + 2) * S
+    for name, lines in exchanges.items():
+        stand: dict[str, int] = {}
+        for line in lines:
+            if line["what"] == "answered" and line["call"] in mine:
+                stand[line["call"]] = line["t"]
+            elif line["what"] in ("released", "over"):
+                stand.pop(line["call"], None)
+        if limit < stage.told["end"]:
+            verdict.need(not stand, f"{name}: {len(stand)} calls of a dead application still stand")
--- /dev/null
+++ b/arrowrail/lab/exchange.py
@@ -0,0 +1,211 @@
+"""A stand-in desk exchange that speaks the binary protocol, with faults by schedule.
+
+``python -m arrowrail.lab.exchange --listen ADDRESS --ledger FILE [--circuits N] [--seed N] ...``
+
+It writes every set-up, answer, refusal and release to its ledger.  A fault is ``WHAT:FROM:SECONDS`` from its
+start: ``silent`` takes set-ups and answers none, ``full`` refuses all, ``slow`` answers ten times later,
+``cut`` resets its connections once.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import signal
+import socket
+from dataclasses import dataclass
+
+from arrowrail.core import MS
+from arrowrail.lab.ledger import Ledger
+from arrowrail.loop import Loop
+from arrowrail.state.deadlines import Deadline
+from arrowrail.wire.desk import binary
+from arrowrail.wire.desk.binary import DeskMessage
+from arrowrail.wire.listener import Listener
+from arrowrail.wire.stream import Stream
+
+S = 1_000 * MS
+DESCRIPTION = b"c=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0\r\n"
+LATE_NS = 8 * S  # how long a release is told to connections that open
+GROUP_NS = 100 * MS  # at most so often is the state of the group told
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    what: str
+    since: int
+    until: int
+
+
+class Peer:
+    """One controller's connection."""
+
+    def __init__(self, exchange: StandInExchange, sock: socket.socket) -> None:
+        self.exchange = exchange
+        self.parser = binary.BinaryParser()
+        self.stream = Stream(exchange.loop, sock, self)
+        exchange.peers[self] = None
+        self.tell_group()
+        for told, release in exchange.told_late:
+            if exchange.loop.now - told < LATE_NS:
+                self.say(release)
+
+    def connected(self) -> None:
+        pass
+
+    def tell_group(self) -> None:
+        e = self.exchange
+        self.say(DeskMessage(binary.GROUP, 0, free=max(0, e.circuits - len(e.calls)), size=e.circuits))
+
+    def say(self, message: DeskMessage) -> None:
+        self.stream.send(binary.encode(message))
+
+    def received(self, data: bytes) -> None:
+        for message in self.parser.feed(data):
+            self.exchange.message(self, message)
+
+    def lost(self, _why: OSError | None) -> None:
+        self.exchange.lost(self)
+
+
+@dataclass(slots=True)
+class Held:
+    peer: Peer
+    stands: bool = False
+    timer: Deadline | None = None
+
+
+class StandInExchange:
+    def __init__(
+        self, loop: Loop, address: str, ledger: Ledger, circuits: int = 100, seed: int = 1,
+        set_up_ms: float = 40.0, hold_ms: float = 1500.0, faults: tuple[Fault, ...] = (),
+    ) -> None:  # fmt: skip
+        self.loop, self.ledger, self.circuits = loop, ledger, circuits
+        self.random = random.Random(seed)
+        self.set_up_ms, self.hold_ms, self.faults = set_up_ms, hold_ms, faults
+        self.calls: dict[int, Held] = {}
+        self.peers: dict[Peer, None] = {}
+        self.started = loop.now
+        self._told_at = 0
+        self.told_late: list[tuple[int, DeskMessage]] = []
+        self.listener = Listener(loop, address, lambda s: Peer(self, s), lambda: True, lambda: False)
+        for fault in faults:
+            if fault.what == "cut":
+                loop.deadlines.at(self.started + fault.since, self._cut)
+        ledger.say("started", port=self.listener.port)
+
+    def _under(self, what: str) -> bool:
+        since = self.loop.now - self.started
+        return any(f.what == what and f.since <= since < f.until for f in self.faults)
+
+    def _cut(self) -> None:
+        for peer in list(self.peers):
+            peer.stream.fail(None)
+
+    def message(self, peer: Peer, m: DeskMessage) -> None:
+        if m.kind == binary.SET_UP:
+            self._set_up(peer, m)
+        elif m.kind == binary.RELEASE:
+            held = self.calls.get(m.call)
+            self.ledger.say("released", call=f"{m.call:016x}", stood=held is not None and held.stands,
+                            known=held is not None)  # fmt: skip
+            self._free(m.call)
+            peer.say(DeskMessage(binary.RELEASE_HEARD, m.call))
+        elif m.kind == binary.TEST:
+            peer.say(DeskMessage(binary.TESTED, m.call, cause=1))
+
+    def _set_up(self, peer: Peer, m: DeskMessage) -> None:
+        call = f"{m.call:016x}"
+        self.ledger.say("set_up", call=call, kind=m.class_name, wait_ms=m.wait_ms, number=m.number,
+                        again=m.call in self.calls)  # fmt: skip
+        if self._under("full") or len(self.calls) >= self.circuits:
+            self.ledger.say("refused", call=call)
+            peer.say(DeskMessage(binary.RELEASE, m.call, cause=34, note="group_full"))
+            return
+        held = self.calls[m.call] = Held(peer)
+        if self._under("silent"):
+            return
+        wait = self.set_up_ms * self.random.uniform(0.5, 1.5) * (10 if self._under("slow") else 1)
+        held.timer = self.loop.deadlines.at(self.loop.now + int(wait * MS), lambda: self._answer(m.call))
+        self._group_changed()
+
+    def _answer(self, call: int) -> None:
+        held = self.calls.get(call)
+        if held is None:
+            return
+        held.stands = True
+        self.ledger.say("answered", call=f"{call:016x}")
+        held.peer.say(DeskMessage(binary.ANSWER, call, description=DESCRIPTION))
+        wait = self.hold_ms * self.random.uniform(0.5, 1.5)
+        held.timer = self.loop.deadlines.at(self.loop.now + int(wait * MS), lambda: self._over(call))
+
+    def _over(self, call: int) -> None:
+        held = self.calls.get(call)
+        if held is None:
+            return
+        self.ledger.say("over", call=f"{call:016x}")
+        release = DeskMessage(binary.RELEASE, call, cause=16)
+        if held.peer.stream.open:
+            held.peer.say(release)
+        else:
+            # Whose the other connections are can't be told: all get it, and those that open soon after.
+            self.told_late = [(t, m) for t, m in self.told_late if self.loop.now - t < LATE_NS]
+            self.told_late.append((self.loop.now, release))
+            for peer in list(self.peers):
+                peer.say(release)
+        self._free(call)
+
+    def _free(self, call: int) -> None:
+        held = self.calls.pop(call, None)
+        if held is not None and held.timer is not None:
+            held.timer.cancel()
+        self._group_changed()
+
+    def lost(self, peer: Peer) -> None:
+        """Closing a connection gives up its open set-ups; calls that stand go on."""
+        self.peers.pop(peer, None)
+        for call, held in list(self.calls.items()):
+            if held.peer is peer and not held.stands:
+                self.ledger.say("dropped", call=f"{call:016x}")
+                self._free(call)
+
+    def _group_changed(self) -> None:
+        if self.loop.now - self._told_at >= GROUP_NS:
+            self._told_at = self.loop.now
+            for peer in list(self.peers):
+                peer.tell_group()
+
+
+def fault_of(text: str) -> Fault:
+    what, since, length = text.split(":")
+    return Fault(what, int(float(since) * S), int((float(since) + float(length)) * S))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--ledger", required=True)
+    parser.add_argument("--circuits", type=int, default=100)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--set-up-ms", type=float, default=40.0)
+    parser.add_argument("--hold-ms", type=float, default=1500.0)
+    parser.add_argument("--fault", type=fault_of, action="append", default=[])
+    g = parser.parse_args()
+    loop, ledger = Loop(), Ledger(g.ledger)
+    StandInExchange(loop, g.listen, ledger, g.circuits, g.seed, g.set_up_ms, g.hold_ms, tuple(g.fault))
+    run_until_told(loop, ledger)
+
+
+def run_until_told(loop: Loop, ledger: Ledger) -> None:
+    """Turn the loop until SIGTERM; the ledger is written after each turn."""
+    told: list[int] = []
+    signal.signal(signal.SIGTERM, lambda number, _: told.append(number))
+    ledger.flush()
+    while not told:
+        loop.deadlines.at(loop.now + 50 * MS, lambda: None)
+        loop.turn()
+        ledger.flush()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/arrowrail/lab/processes.py
@@ -0,0 +1,94 @@
+"""Real processes for drills: started with the project's own interpreter, ended by their own id."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+
+ROOT = Path(__file__).resolve().parents[2]
+WAIT_S = 20.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that were free a moment ago, all at once, so that they differ."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in socks]
+    for s in socks:
+        s.close()
+    return ports
+
+
+def until(holds: Callable[[], bool], what: str, wait_s: float = WAIT_S) -> None:
+    end = time.monotonic() + wait_s
+    while not holds():
+        if time.monotonic() > end:
+            raise TimeoutError(f"never came: {what}")
+        time.sleep(0.02)
+
+
+def listens(port: int) -> bool:
+    with socket.socket() as s:
+        s.settimeout(0.5)
+        return s.connect_ex(("127.0.0.1", port)) == 0
+
+
+class Crew:
+    """The processes of one drill; at the end all of them are gone."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+        environment = dict(os.environ, PYTHONPATH=str(ROOT), PYTHONDONTWRITEBYTECODE="1")
+        with open(self.folder / f"{name}.log", "ab") as log:
+            child = subprocess.Popen(
+                [sys.executable, "-m", *arguments], stdin=subprocess.PIPE, stdout=log, stderr=log,
+                env=environment, cwd=self.folder,
+            )  # fmt: skip
+        self.running[name] = child
+        return child
+
+    def tell(self, name: str, line: bytes) -> None:
+        stdin = self.running[name].stdin
+        assert stdin is not None
+        stdin.write(line + b"\n")
+        stdin.flush()
+
+    def send(self, name: str, number: int) -> None:
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """As a crash: no word, no goodbye."""
+        child = self.running.pop(name)
+        child.kill()
+        child.wait(WAIT_S)
+
+    def end(self, name: str) -> int:
+        child = self.running.pop(name)
+        child.send_signal(signal.SIGTERM)
+        try:
+            return child.wait(WAIT_S)
+        except subprocess.TimeoutExpired:
+            child.kill()
+            child.wait(WAIT_S)
+            return -1
+
+    def died(self) -> list[str]:
+        """Those that ended by themselves."""
+        return [f"{n} ended with {p.returncode}" for n, p in self.running.items() if p.poll() is not None]
+
+    def __enter__(self) -> Crew:
+        return self
+
+    def __exit__(self, _kind: type[BaseException] | None, _why: BaseException | None,
+                 _trace: TracebackType | None) -> None:  # fmt: skip
+        for name in list(self.running):
+            self.end(name)
--- a/arrowrail/loop.py
+++ b/arrowrail/loop.py
@@ -7,13 +7,14 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import IO, Any
 
 from arrowrail.state.deadlines import Deadlines
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 LONGEST_SLEEP_NS = 1_000_000_000
 Ready = Callable[[int], None]
+Source = socket.socket | IO[Any]  # or a pipe
 
 
 class Loop:
@@ -30,13 +31,13 @@
     def now(self) -> int:
         return self.deadlines.now
 
-    def watch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
+    def watch(self, sock: Source, mask: int, ready: Ready) -> None:
         try:
             self._selector.modify(sock, mask, ready)
         except KeyError:
             self._selector.register(sock, mask, ready)
 
-    def unwatch(self, sock: socket.socket) -> None:
+    def unwatch(self, sock: Source) -> None:
         with contextlib.suppress(KeyError, ValueError):  # was never watched, or is closed already
             self._selector.unregister(sock)
 
--- /dev/null
+++ b/arrowrail/run/log.py
@@ -0,0 +1,41 @@
+"""Logs on standard error: a line of text, or one JSON object, for each event.  Nothing is logged per call."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+import orjson
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+TEXT, JSON = "text", "json"
+
+
+def log_to(level: str, form: str = TEXT) -> None:
+    """Log from that level on, in one of the two forms."""
+    logger.remove()
+    if form == JSON:
+        logger.add(_json, level=level, backtrace=False, diagnose=False, format="{message}")
+    else:
+        logger.add(sys.stderr, level=level, backtrace=False, diagnose=False)
+
+
+def _json(message: Message) -> None:
+    record = message.record
+    line: dict[str, Any] = {
+        "time": record["time"].isoformat(), "level": record["level"].name, "event": "log",
+        "message": record["message"],
+    }  # fmt: skip
+    line |= record["extra"]
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    sys.stderr.buffer.write(orjson.dumps(line, default=str) + b"\n")
+    sys.stderr.buffer.flush()
+
+
+def event(name: str, text: str, level: str = "INFO", **fields: Any) -> None:
+    """Log an event under a stable name; its fields stand in the text and, in JSON, beside it."""
+    logger.bind(event=name, **fields).log(level, text, **fields)
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -4,7 +4,6 @@
 
 import argparse
 import os
-import sys
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -15,6 +14,7 @@
 from arrowrail.core import MS, Core
 from arrowrail.loop import Loop
 from arrowrail.run.config import Config, from_environment
+from arrowrail.run.log import log_to
 from arrowrail.run.wake import on_signal
 from arrowrail.wire.bus.client import BusClient
 from arrowrail.wire.desk.back import DeskBack
@@ -52,8 +52,9 @@
 
             self.extras = Extras(self.loop, self.core, self.config, self.operator)
         self.core.turn()
-        self.front.start()
-        logger.info("{} serves on {}", self.config.name, self.config.listen)
+        if self.config.listen:
+            self.front.start()
+            logger.info("{} serves on {}", self.config.name, self.config.listen)
 
     def stop(self, number: int) -> None:
         """Told to stop: go on serving until nothing new can come and all that was taken is answered."""
@@ -97,11 +98,6 @@
         logger.info("stopped; {} checks fired", self.core.defects)
 
 
-def log_to(level: str) -> None:
-    logger.remove()
-    logger.add(sys.stderr, level=level, backtrace=False, diagnose=False)
-
-
 def read_operator(path: Path, config: Config) -> Operator | None:
     """The operator's file under the tool's own check; every fault is logged."""
     from arrowrail.config.model import check_against, read
--- /dev/null
+++ b/arrowrail/sidecar/door.py
@@ -0,0 +1,101 @@
+"""The sidecar's door: joins limits, pools and list to what the core asks; each decides for itself."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+
+from arrowrail.core import LINK_BROKE, NO_ROUTE, OVER_LIMIT, REFUSED, Answer, Offer
+from arrowrail.limits.limiter import Limiter
+from arrowrail.pools.book import Allowed, Book
+from arrowrail.sidecar.compile import Compiled
+from arrowrail.sidecar.listing import SOURCE, Listing
+from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk, Told
+from trackhatch import interface as i
+
+NO_NEWS = ("not_sent", "no_answer", "called_off")  # outcomes that prove nothing of the way to an exchange
+NO_WAY = Answer(REFUSED, outcome=NO_ROUTE)
+
+
+class RecordsDoor:
+    def __init__(self, compiled: Compiled, now: int) -> None:
+        self.compiled = compiled
+        self.limiter = Limiter(compiled.limits, now)
+        self.book = Book(compiled.pools)
+        self.listing = Listing()
+        self.refused: dict[str, int] = {}  # by reason, for operators
+        self._offices: dict[int, dict[int, str]] = {}  # by exchange: the state of each machine there
+
+    def use(self, compiled: Compiled, now: int) -> tuple[list[Told], list[i.PoolNews]]:
+        """A reload: what is open goes on under what it began with; the news is for what comes."""
+        self.compiled = compiled
+        self.limiter.use(compiled.limits, now)
+        news = _news(self.book.use(compiled.pools))
+        return self.listing.use(compiled.lines), news
+
+    # --- The core's questions ---------------------------------------------------------------------------
+
+    def carries(self, class_name: str) -> bool:
+        return class_name in self.compiled.classes
+
+    def enter(self, now: int, line: object, offer: Offer) -> tuple[Offer, Answer | None]:
+        facts = self.compiled.classes.get(offer.class_name)
+        placed = self.book.place(offer.class_name, offer.number, offer.district)
+        if facts is None or placed.why_not:
+            self._count(placed.why_not or "class not carried")
+            return offer, NO_WAY
+        verdict = self.limiter.ask(now, offer.class_name, line)
+        if not verdict.admitted:
+            self._count(verdict.reason)
+            return offer, Answer(REFUSED, stay_away_ns=verdict.wait_ns, outcome=OVER_LIMIT)
+        deadline = min(offer.deadline_ns, now + facts.give_up_ns)
+        return replace(
+            offer, route=placed.route, destination=placed.exchange, width=facts.width, deadline_ns=deadline
+        ), None
+
+    def settled(self, now: int, line: object, offer: Offer, took_ns: int) -> None:
+        self.limiter.ended(now, offer.class_name, line, took_ns)
+
+    def time_out_ns(self, offer: Offer) -> int:
+        facts = self.compiled.classes.get(offer.class_name)
+        return facts.time_out_ns if facts is not None else 0
+
+    def listed(self, source: str, whole: bool, lines: Iterable[Told]) -> tuple[str, bool, list[Told]]:
+        """What any source tells takes effect through the listing, in its words."""
+        if source == SOURCE:
+            return SOURCE, False, list(lines)
+        return SOURCE, False, self.listing.heard(whole, lines)
+
+    def told(self, desks: Iterable[Desk]) -> list[i.PoolNews]:
+        """An exchange is in use while any machine of it is in service: the old one may drain beside it."""
+        changed = set()
+        for desk in desks:
+            machines = self._offices.setdefault(desk.told.exchange, {})
+            machines[desk.office] = desk.told.state
+            if desk.told.state == TERMINATED and len(machines) > 1:
+                del machines[desk.office]
+            changed.add(desk.told.exchange)
+        states = []
+        for exchange in sorted(changed):
+            known = set(self._offices[exchange].values())
+            states.append((exchange, IN_SERVICE if IN_SERVICE in known else min(known, key=len)))
+        return _news(self.book.told(states))
+
+    def attempt_over(self, now: int, desk: Desk, outcome: str, cause: int) -> list[i.PoolNews]:
+        if outcome == "no_connection":
+            return _news(self.book.missed(now, desk.told.exchange))
+        if outcome in NO_NEWS or cause == LINK_BROKE:
+            return []
+        return _news(self.book.heard(desk.told.exchange))
+
+    # --- Now and then -----------------------------------------------------------------------------------
+
+    def due(self, now: int) -> list[i.PoolNews]:
+        return _news(self.book.due(now))
+
+    def _count(self, reason: str) -> None:
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+
+
+def _news(changed: Mapping[str, Allowed]) -> list[i.PoolNews]:
+    return [i.PoolNews(route, allowed.exchanges) for route, allowed in changed.items()]
--- /dev/null
+++ b/arrowrail/sidecar/main.py
@@ -0,0 +1,221 @@
+"""The sidecar's process: from the records to a serving controller, through reloads, to its end."""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from arrowrail.core import MS, Q850_CUT, Core, Front
+from arrowrail.run.config import Config
+from arrowrail.run.log import event, log_to
+from arrowrail.run.main import Program
+from arrowrail.sidecar.compile import Compiled, Result
+from arrowrail.sidecar.door import RecordsDoor
+from arrowrail.sidecar.listing import SOURCE
+from arrowrail.sidecar.reading import Reading, read_now
+from arrowrail.state.slots import SlotTable
+
+if TYPE_CHECKING:
+    from arrowrail.wire.m3ua.rules import ClassRule
+
+GOOD, FAULTS, NO_PORT = 0, 1, 3
+TICK_NS = 250 * MS
+
+
+class Sidecar:
+    """One application's controller.  The decision module chooses; door, pools and limits come before it."""
+
+    def __init__(self, compiled: Compiled, folder: Path, seed: int) -> None:
+        self.compiled = compiled
+        self.program = Program(_config(compiled, seed))
+        self.core: Core = self.program.core
+        self.door = self.core.door = RecordsDoor(compiled, self.program.loop.now)
+        self.program.front.most_callers = compiled.connections
+        self.reading = Reading(self.program.loop, folder, compiled.application, self._read)
+        self.numbers: dict[str, int] = {line.name: line.number for line in compiled.lines}
+        self._m3ua = _signalling(self.program, compiled)
+        self._alone_since: dict[int, int] = {}  # by front: since when it has had no connection
+
+    # --- Start ------------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        c, loop = self.compiled, self.program.loop
+        self.core.list_news(SOURCE, False, self.door.listing.use(c.lines))
+        if c.links.source == "etcd":
+            from arrowrail.wire.etcd.client import EtcdClient
+
+            EtcdClient(loop, self.core, c.links.source_address, c.links.source_prefix).start()
+        self.program.start()
+        if self._m3ua is not None:
+            self._m3ua.start()
+        loop.deadlines.at(loop.now + TICK_NS, self._tick)
+        event(
+            "sidecar.started", "{application} at {sip} {m3ua}", application=c.application, site=c.site,
+            sip=c.links.sip, m3ua=c.links.m3ua, exchanges=len(c.lines), routes=len(c.pools.routes),
+        )  # fmt: skip
+
+    def run(self) -> None:
+        from arrowrail.run.wake import on_signal
+
+        on_signal(self.program.loop, self.program.stop, self.reload)
+        self.start()
+        while not self.program.done():
+            self.program.turn()
+        self.reading.close()
+        event("sidecar.stopped", "{defects} checks fired", defects=self.core.defects)
+
+    # --- Reload -----------------------------------------------------------------------------------------
+
+    def reload(self) -> None:
+        event("reload.asked", "the records are read again")
+        self.reading.ask(self.numbers)
+
+    def _read(self, result: Result) -> None:
+        if result.compiled is None:
+            for fault in result.faults:
+                event("reload.fault", "{fault}", level="ERROR", fault=fault)
+            event("reload.kept", "the records are not good; those of before stay", level="ERROR",
+                  codes=sorted(set(result.codes)))  # fmt: skip
+            return
+        self.take_up(result.compiled)
+
+    def take_up(self, new: Compiled) -> None:
+        """Take up what may change under way; nothing that is in flight is touched."""
+        old, self.compiled = self.compiled, new
+        if new.links != old.links:
+            event("reload.restart", "listeners, sources and descriptors change with the next start",
+                  level="WARNING")  # fmt: skip
+        unheard = [r for r in new.pools.routes if r not in self.core.module.kinds]
+        if unheard:
+            event("reload.worth", "{routes} count as of least worth until the next start", level="WARNING",
+                  routes=unheard[:20])  # fmt: skip
+        self.numbers |= {line.name: line.number for line in new.lines}
+        news, pools = self.door.use(new, self.program.loop.now)
+        self.core.events += pools
+        self.core.list_news(SOURCE, False, news)
+        self.program.front.most_callers = new.connections
+        if self._m3ua is not None:
+            self._m3ua.use(new)
+        log_to(new.log_level, new.log_form)
+        event(
+            "reload.done", "{changed} exchanges changed, {routes} routes go elsewhere", changed=len(news),
+            routes=len(pools),
+        )  # fmt: skip
+
+    # --- Now and then -----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        loop = self.program.loop
+        self.core.events += self.door.due(loop.now)
+        self._forget_emptied()
+        self._release_orphans()
+        loop.deadlines.at(loop.now + TICK_NS, self._tick)
+
+    def _forget_emptied(self) -> None:
+        leaving = self.door.listing.leaving
+        if not leaving:
+            return
+        busy = {r.out.desk.told.uid for r in self.core.requests if r.out is not None}
+        gone = self.door.listing.emptied([uid for uid in leaving if uid not in busy])
+        if gone:
+            self.core.list_news(SOURCE, False, gone)
+
+    def _release_orphans(self) -> None:
+        """Guards against calls of an application that has died holding circuits for nobody."""
+        now = self.program.loop.now
+        for front in self.core.fronts:
+            if _connections(front):
+                self._alone_since.pop(id(front), None)
+                continue
+            since = self._alone_since.setdefault(id(front), now)
+            if now - since < self.compiled.orphans_ns:
+                continue
+            released = self.core.release_all(front, Q850_CUT)
+            if released:
+                event("orphans.released", "{calls} calls of an application that is gone", level="WARNING",
+                      calls=released)  # fmt: skip
+
+
+def _connections(front: Front) -> int:
+    held: SlotTable[Any] = getattr(front, "callers", None) or getattr(front, "links", SlotTable())
+    return len(held)
+
+
+class Signalling:
+    """The M3UA-style front and back, where the records ask for them."""
+
+    def __init__(self, program: Program, c: Compiled) -> None:
+        from arrowrail.wire.m3ua.back import M3uaBack
+        from arrowrail.wire.m3ua.front import M3uaFront
+        from arrowrail.wire.m3ua.link import M3uaSettings
+        from arrowrail.wire.m3ua.rules import NumberRule
+
+        links = c.links
+        settings = M3uaSettings(
+            links.point_code, links.routing_context, links.network_appearance, links.heartbeat_ns
+        )
+        circuits = max((line.circuits for line in c.lines), default=1)
+        self._any = (NumberRule("", -1),)  # the door knows where a number leads
+        self.back = M3uaBack(
+            program.loop, program.core, settings, _rules(c), circuits, links.connect_time_out_ns
+        )
+        self.front: M3uaFront | None = None
+        if links.m3ua:
+            self.front = M3uaFront(program.loop, program.core, links.m3ua, settings, _rules(c), self._any)
+
+    def start(self) -> None:
+        if self.front is not None:
+            self.front.start()
+
+    def use(self, c: Compiled) -> None:
+        self.back.use(_rules(c))
+        if self.front is not None:
+            self.front.use(_rules(c), self._any)
+
+
+def _rules(c: Compiled) -> tuple[ClassRule, ...]:
+    from arrowrail.wire.m3ua.rules import ClassRule
+
+    return tuple(
+        ClassRule(f.name, f.give_up_ns, f.width, f.category, f.requirement) for f in c.classes.values()
+    )
+
+
+def _signalling(program: Program, c: Compiled) -> Signalling | None:
+    wanted = c.links.m3ua or any(line.signalling == "m3ua" for line in c.lines)
+    return Signalling(program, c) if wanted else None
+
+
+def _config(c: Compiled, seed: int) -> Config:
+    bus = c.links.source_address if c.links.source == "bus" else ""
+    return Config(
+        c.application, c.links.sip, seed, c.links.descriptors, bus, (), 0, c.settings,
+        c.links.connect_time_out_ns,
+    )  # fmt: skip
+
+
+def main(application: str, folder: Path, form: str | None = None) -> int:
+    """Start the sidecar of an application; returns the process's exit code: 0, 1 faults, 3 no port."""
+    log_to(os.environ.get("ARROWRAIL_LOG", "INFO"), form or "text")
+    result = read_now(folder, application)
+    if result.compiled is None:
+        for fault in result.faults:
+            event("start.fault", "{fault}", level="ERROR", fault=fault)
+        return FAULTS
+    compiled = result.compiled
+    log_to(compiled.log_level, form or compiled.log_form)
+    sidecar = Sidecar(compiled, folder, int.from_bytes(os.urandom(8), "big"))
+    try:
+        sidecar.run()
+    except OSError as why:
+        if why.errno not in (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES):
+            raise
+        taken: Mapping[str, str] = {"sip": compiled.links.sip, "m3ua": compiled.links.m3ua}
+        said = ", ".join(f"listen.{n} {a}" for n, a in taken.items() if a)
+        event("start.port", "can't listen: {why} ({listeners})", level="ERROR", why=why.strerror,
+              listeners=said)  # fmt: skip
+        return NO_PORT
+    return GOOD
--- /dev/null
+++ b/arrowrail/sidecar/reading.py
@@ -0,0 +1,125 @@
+"""The serving side of the reader: starts it, waits for it on the loop, and takes its result."""
+
+from __future__ import annotations
+
+import pickle
+import subprocess
+import sys
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from arrowrail.loop import READ, Loop
+from arrowrail.sidecar.compile import Result
+from arrowrail.state.deadlines import Deadline
+
+LONGEST_S = 60
+MAX_RESULT = 64 << 20  # bytes of a result: an inventory of 10,000 exchanges is a tenth of it
+CHUNK = 256 * 1024
+Done = Callable[[Result], None]
+
+
+def _start(folder: Path, name: str, numbers: Mapping[str, int]) -> subprocess.Popen[bytes]:
+    child = subprocess.Popen(
+        [sys.executable, "-m", "arrowrail.sidecar.reader", str(folder), name],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+    )  # fmt: skip
+    assert child.stdin is not None
+    child.stdin.write(pickle.dumps(dict(numbers)))  # some kilobytes: the pipe holds them
+    child.stdin.close()
+    return child
+
+
+def read_now(folder: Path, name: str) -> Result:
+    """At the start, before anything is served: wait for it."""
+    child = _start(folder, name, {})
+    assert child.stdout is not None
+    try:
+        data = child.stdout.read(MAX_RESULT)
+        child.wait(LONGEST_S)
+    except subprocess.TimeoutExpired:
+        child.kill()
+        child.wait()
+        return Result(None, (f"{folder}: not read within {LONGEST_S} s",))
+    return _result(data, child.returncode, folder)
+
+
+def _result(data: bytes, code: int | None, folder: Path) -> Result:
+    if code != 0 or not data:
+        return Result(None, (f"{folder}: the reader ended with {code}",))
+    result = pickle.loads(data)
+    return result if isinstance(result, Result) else Result(None, (f"{folder}: no result",))
+
+
+class Reading:
+    """One reading under way at most; asked again meanwhile, it begins anew once that one has ended."""
+
+    def __init__(self, loop: Loop, folder: Path, name: str, done: Done) -> None:
+        self.loop, self.folder, self.name, self.done = loop, folder, name, done
+        self._child: subprocess.Popen[bytes] | None = None
+        self._data = bytearray()
+        self._late: Deadline | None = None
+        self._again: Mapping[str, int] | None = None
+
+    @property
+    def busy(self) -> bool:
+        return self._child is not None
+
+    def ask(self, numbers: Mapping[str, int]) -> None:
+        if self._child is not None:
+            # What is being read may be older than the file that this signal speaks of.
+            self._again = dict(numbers)
+            return
+        try:
+            child = self._child = _start(self.folder, self.name, numbers)
+        except OSError as why:  # no descriptor or no memory for a process
+            self.done(Result(None, (f"{self.folder}: the reader can't be started: {why.strerror}",)))
+            return
+        assert child.stdout is not None
+        self._data = bytearray()
+        self.loop.watch(child.stdout, READ, self._ready)
+        self._late = self.loop.deadlines.at(self.loop.now + LONGEST_S * 10**9, self._too_late)
+
+    def _ready(self, _mask: int) -> None:
+        child = self._child
+        if child is None or child.stdout is None:
+            return
+        data = child.stdout.read1(CHUNK)  # type: ignore[attr-defined]
+        if data and len(self._data) + len(data) <= MAX_RESULT:
+            self._data += data
+            return
+        self._end(_result(bytes(self._data), self._reap(), self.folder))
+
+    def _reap(self) -> int | None:
+        child = self._child
+        if child is None:
+            return None
+        if child.stdout is not None:
+            self.loop.unwatch(child.stdout)
+            child.stdout.close()
+        try:
+            return child.wait(0.5)  # it has closed its output: nothing is left to do in it
+        except subprocess.TimeoutExpired:
+            child.kill()
+            return child.wait()
+
+    def _too_late(self) -> None:
+        if self._child is not None:
+            self._child.kill()
+            self._reap()
+            self._end(Result(None, (f"{self.folder}: not read within {LONGEST_S} s",)))
+
+    def _end(self, result: Result) -> None:
+        self._child = None
+        if self._late is not None:
+            self._late.cancel()
+        again, self._again = self._again, None
+        if again is not None:
+            self.ask(again)  # only the latest counts
+        else:
+            self.done(result)
+
+    def close(self) -> None:
+        if self._child is not None:
+            self._child.kill()
+            self._reap()
+            self._child = None
