Write, check, show, explain and convert records, with a corpus of broken ones

Need: a tool has to make each application's file, check all of them before a start, and say what is in force; after it there is one form. A default record now has the place of what holds it, so that its rules can name one.

--- a/arrowrail/config/model.py
+++ b/arrowrail/config/before.py
@@ -1,7 +1,4 @@
-"""The operator's file: every key, its default, and what is allowed.
-
-The same model checks the file for the tool and at the program's start, so the two can't disagree.
-"""
+"""The operator's TOML file of before, for the converter: nothing else reads that form any more."""
 
 from __future__ import annotations
 
@@ -186,13 +183,3 @@
         for key, there in (("classes", m.classes), ("numbers", m.numbers)):
             if not there:
                 yield Fault(file, f"m3ua.{key}", "none, with m3ua.enabled", f"at least one [[m3ua.{key}]]")
-
-
-def check_against(file: str, operator: Operator, class_names: Iterable[str]) -> list[Fault]:
-    """The faults that only the platform's settings show."""
-    names = tuple(class_names)
-    return [
-        Fault(file, f"m3ua.classes[{at}].name", f"{c.name!r} is no class of the settings", ", ".join(names))
-        for at, c in enumerate(operator.m3ua.classes)
-        if c.name not in names
-    ]
--- a/arrowrail/config/folder.py
+++ b/arrowrail/config/folder.py
@@ -32,7 +32,7 @@
         return not self.faults.bad
 
 
-class _Tables:
+class Tables:
     """Reads each table once however many applications share it."""
 
     def __init__(self, faults: Faults) -> None:
@@ -88,7 +88,7 @@
     """Every fault of a folder's files, and the applications that could be read."""
     faults = Faults()
     files = Folder(folder, faults, replaced)
-    checked, tables = Checked(faults), _Tables(faults)
+    checked, tables = Checked(faults), Tables(faults)
     names = files.names()
     all_loaded = [files.load(name) for name in names]
     checked.loaded = {loaded.name: loaded for loaded in all_loaded}
--- a/arrowrail/config/records.py
+++ b/arrowrail/config/records.py
@@ -14,6 +14,7 @@
     MapOf,
     Maybe,
     Number,
+    Prefix,
     Quantity,
     Record,
     RecordOf,
@@ -221,6 +222,80 @@
     log: Log = key(RecordOf(Log), "what its sidecar logs", Log)
 
 
+@record
+class BearerRule(Record):
+    """Which class and deadline an M3UA client's set-up gets; a field that is absent fits any."""
+
+    class_: str = key(Text(64), "a class of the settings")
+    deadline: int = key(Quantity(DURATION, MS, 600 * S), "when a caller's try is given up")
+    category: int | None = key(Maybe(Whole(0, 255)), "calling party's category", None)
+    requirement: int | None = key(Maybe(Whole(0, 255)), "transmission medium requirement", None)
+
+
+@record
+class NumberPrefix(Record):
+    """To which exchange a number leads; the longest prefix wins."""
+
+    prefix: str = key(Prefix(), "digits of the number's beginning; empty for all numbers")
+    exchange: int = key(Whole(0, 65535), "an exchange of the settings")
+
+
+@record
+class M3uaDesk(Record):
+    """A desk exchange that signals in the M3UA style."""
+
+    uid: str = key(Text(64), "its own name")
+    address: str = key(Address(), "where it listens")
+    point_code: int = key(POINT_CODE, "its point code")
+    exchange: int = key(Whole(0, 65535), "its exchange's number in the settings")
+    zone: str = key(Text(64), "its zone", "")
+    circuits: int = key(Whole(0, 4095), "of the group toward it; 0: the common figure", 0)
+
+
+@record
+class ControllerM3ua(Record):
+    """M3UA-style signalling of a controller of the platform's kind."""
+
+    enabled: bool = key(Flag(), "whether it is spoken", False)
+    listen: str = key(Address(), "where clients connect", "127.0.0.1:2905")
+    point_code: int = key(POINT_CODE, "the controller's own point code", 1)
+    routing_context: int | None = key(Maybe(Whole(0, 0xFFFFFFFF)), "absent: none is sent or wanted", None)
+    network_appearance: int | None = key(Maybe(Whole(0, 0xFFFFFFFF)), "absent: none is sent or wanted", None)
+    heartbeat: int = key(
+        Quantity(DURATION, 100 * MS, 60 * S), "a peer that is silent for two of them is cut off", 5 * S
+    )
+    circuits: int = key(Whole(1, 4095), "of the group toward a desk exchange that states none", 120)
+    classes: tuple[BearerRule, ...] = key(ListOf(RecordOf(BearerRule)), "the first that fits is taken", ())
+    numbers: tuple[NumberPrefix, ...] = key(ListOf(RecordOf(NumberPrefix)), "where numbers lead", ())
+    desks: tuple[M3uaDesk, ...] = key(ListOf(RecordOf(M3uaDesk)), "desk exchanges of this kind", ())
+
+
+@record
+class ControllerEtcd(Record):
+    """The exchange list in etcd, beside the event bus."""
+
+    enabled: bool = key(Flag(), "whether it is followed", False)
+    address: str = key(Address(), "of the JSON gateway", "127.0.0.1:2379")
+    prefix: str = key(Text(256), "key prefix of the exchanges", "/arrowrail/desks/")
+
+
+@record
+class Controller(Record):
+    """What an operator's file adds to a controller that the platform starts."""
+
+    application: str = key(Text(64), "the application's name, in logs")
+    log: Log = key(RecordOf(Log), "what is logged", Log)
+    m3ua: ControllerM3ua = key(RecordOf(ControllerM3ua), "M3UA-style signalling", ControllerM3ua)
+    etcd: ControllerEtcd = key(RecordOf(ControllerEtcd), "the list in etcd", ControllerEtcd)
+
+
+@record
+class ControllerFile(Record):
+    """All that the file of a platform's controller may hold."""
+
+    controller: Controller = key(RecordOf(Controller), "what is turned on beside the platform's settings")
+
+
 @record
 class Root(Record):
     """All that a folder of records may hold."""
@@ -237,4 +312,4 @@
 
 def every_key() -> dict[str, Key]:
     """All keys by path, ``*`` for a name."""
-    return dict(walk(Root))
+    return dict(walk(Root)) | dict(walk(ControllerFile))
--- a/arrowrail/config/rules.py
+++ b/arrowrail/config/rules.py
@@ -174,7 +174,7 @@
 def listeners(a: Application, v: Inventory, faults: Faults) -> None:
     key = f"application.{a.name}.listen"
     given = [(n, address) for n, address in (("sip", a.listen.sip), ("m3ua", a.listen.m3ua)) if address]
-    if not given:
+    if not given and not {"sip", "m3ua"} & a.listen.places.keys():
         faults.add("AR207", a.listen.at, key, "neither sip nor m3ua", "add one of the two")
     taken = {host_port(e.address): e for e in v.exchanges.values() if e.state != "gone"}
     for name, address in given:
@@ -225,7 +225,7 @@
                 faults.add("AR305", calls.place("pools"), key, f"{calls.name} has no pool in {district}")
         for district, pool in calls.pools.items():
             place = calls.place(f"pools.{district}")
-            if district not in a.serves and a.serves:
+            if district not in a.serves and f"serves[{len(a.serves)}]" not in a.places:
                 faults.add("AR322", place, f"{key}.{district}",
                            f"{district} is not among {', '.join(a.serves[:5])}",
                            other=a.place("serves"))  # fmt: skip
@@ -257,7 +257,7 @@
             faults.add("AR312", lim.place("shares"), f"{key}.shares",
                        f"the shares of {part} add up to {units.write(units.SHARE, total)}")  # fmt: skip
     for name, share in lim.shares.items():
-        if name not in a.calls and v.whole:
+        if f"calls.{name}" not in a.places and v.whole:
             faults.add("AR315", share.at, f"{key}.shares.{name}", f"calls has no {name}")
     slowest = max((c.give_up for c in a.calls.values()), default=0)
     if slowest and lim.rate * slowest / units.S + lim.rate * lim.burst / units.S < lim.open:
--- a/arrowrail/config/schema.py
+++ b/arrowrail/config/schema.py
@@ -217,6 +217,13 @@
         return BAD
 
 
+class Prefix(Digits):
+    """Digits, or nothing for every number."""
+
+    def check(self, text: str, found: Scalar, r: Reading, key: str) -> Any:
+        return text if text == "" else super().check(text, found, r, key)
+
+
 class Address(Text):
     name = '"address:port"'
 
@@ -465,6 +472,8 @@
                 if r.whole:
                     r.faults.add("AR207", own, _join(at, k.name), f"{k.name} is missing: {k.doc}",
                                  f"add {k.name}: {k.kind.says()}")  # fmt: skip
+            elif isinstance(k.kind, RecordOf):
+                values[field_name] = k.default(at=own)  # so that a rule has a place to name
             continue
         value = meet(given.value, found.pattern) if found.pattern is not None else given.value
         read = k.kind.read(value, r, _join(at, k.name))
--- a/arrowrail/config/syntax.py
+++ b/arrowrail/config/syntax.py
@@ -18,6 +18,7 @@
     MOST_PATTERN,
     STRING,
     TYPES,
+    Broken,
     Choice,
     Conflict,
     Constraint,
@@ -96,7 +97,7 @@
             return figure(str(children[0]), place)
         except Conflict as wrong:
             self.faults.append(wrong)
-            return Constraint(place)
+            return Broken(place)
 
     def path(self, _meta: Any, children: list[Token]) -> Value:
         place, first = self._at(children[0]), str(children[0])
@@ -114,7 +115,7 @@
         place = self._at(op)
         if not isinstance(value, Scalar):
             self.faults.append(Conflict("AR107", value.place, "a bound takes a plain value"))
-            return Constraint(place)
+            return Broken(place)
         if op == "=~":
             try:
                 pattern = str(value.value)
@@ -123,7 +124,7 @@
                 re.compile(pattern)
             except (re.error, ValueError, OverflowError, RecursionError) as wrong:
                 self.faults.append(Conflict("AR107", value.place, f"no pattern: {str(wrong)[:80]}"))
-                return Constraint(place)
+                return Broken(place)
         return Constraint(place, None, ((str(op), value),))
 
     def meet(self, _meta: Any, children: list[Any]) -> Value:
@@ -153,6 +154,9 @@
             self.faults.append(Conflict("AR107", self._at(star), "'*' marks a default among several values"))
         return value  # type: ignore[no-any-return]
 
+    def group(self, _meta: Any, children: list[Any]) -> Value:
+        return self._value(children[0])
+
     def array(self, meta: Any, children: list[Any]) -> Value:
         return ListValue(self._place(meta), tuple(self._value(c) for c in children))
 
@@ -241,7 +245,7 @@
     open_: list[tuple[str, Place]] = []
     for number, line in enumerate(text.split("\n"), 1):
         in_text = escaped = False
-        labels = 0
+        labels = began_at = 0
         for column, char in enumerate(line, 1):
             if in_text:
                 if escaped:
@@ -252,7 +256,7 @@
                     in_text = False
                 continue
             if char == '"':
-                in_text = True
+                in_text, began_at = True, column
             elif char == "/" and line[column : column + 1] == "/":
                 break
             elif char == ":":
@@ -270,6 +274,10 @@
             if len(open_) + labels > MAX_DEPTH:
                 faults.add("AR106", Place(file, number, column), "", f"more than {MAX_DEPTH} levels")
                 return False
+        if in_text:
+            faults.add("AR107", Place(file, number, began_at), "", "a text is never closed",
+                       "close it with '\"' on the same line")  # fmt: skip
+            return False
     if open_:
         began, place = open_[-1]
         faults.add("AR107", place, "", f"{began!r} is never closed", f"add {CLOSE[OPEN.index(began)]!r}")
--- a/arrowrail/config/values.py
+++ b/arrowrail/config/values.py
@@ -353,5 +353,8 @@
     if isinstance(found, ListValue):
         return [plain(item, faults) for item in found.items]
     if isinstance(found, Struct):
-        return {label: plain(entry.value, faults) for label, entry in found.public()}
+        return {
+            label: plain(entry.value if found.pattern is None else meet(entry.value, found.pattern), faults)
+            for label, entry in found.public()
+        }
     return None
--- a/arrowrail/run/extras.py
+++ b/arrowrail/run/extras.py
@@ -4,8 +4,8 @@
 
 from loguru import logger
 
-from arrowrail.config.model import M3uaTable, Operator
-from arrowrail.core import MS, Core
+from arrowrail.config.records import Controller, ControllerM3ua
+from arrowrail.core import Core
 from arrowrail.loop import Loop
 from arrowrail.run.config import Config
 from arrowrail.state.directory import IN_SERVICE, Told
@@ -21,15 +21,13 @@
 class Extras:
     """The parts that an operator's file turned on."""
 
-    def __init__(self, loop: Loop, core: Core, config: Config, operator: Operator) -> None:
+    def __init__(self, loop: Loop, core: Core, config: Config, operator: Controller) -> None:
         self.core, self.config, self.operator = core, config, operator
         m = operator.m3ua
         self.front: M3uaFront | None = None
         self.etcd: EtcdClient | None = None
         if m.enabled:
-            settings = M3uaSettings(
-                m.point_code, m.routing_context, m.network_appearance, m.heartbeat_ms * MS
-            )
+            settings = M3uaSettings(m.point_code, m.routing_context, m.network_appearance, m.heartbeat)
             self.back = M3uaBack(
                 loop, core, settings, self._classes(m), m.circuits, config.connect_timeout_ns
             )
@@ -40,7 +38,7 @@
             self.etcd = EtcdClient(loop, core, operator.etcd.address, operator.etcd.prefix)
             self.etcd.start()
 
-    def reload(self, operator: Operator) -> None:
+    def reload(self, operator: Controller) -> None:
         """Take up desk exchanges, numbers, classes and etcd's address; new calls see them, old ones don't.
 
         Who listens where, and under which point code, is agreed with the peers: that needs a restart.
@@ -55,28 +53,27 @@
             logger.warning("reload: a changed listen, point code or switch needs a restart")
         self.operator = operator
 
-    def _classes(self, m: M3uaTable) -> tuple[ClassRule, ...]:
+    def _classes(self, m: ControllerM3ua) -> tuple[ClassRule, ...]:
         widths = {c.name: c.width for c in self.config.settings.classes}
         return tuple(
-            ClassRule(c.name, c.deadline_ms * MS, widths[c.name], c.category, c.requirement)
-            for c in m.classes
+            ClassRule(c.class_, c.deadline, widths[c.class_], c.category, c.requirement) for c in m.classes
         )
 
 
-def _fixed(o: Operator) -> tuple[object, ...]:
+def _fixed(o: Controller) -> tuple[object, ...]:
     m = o.m3ua
     return (
-        m.enabled, m.listen, m.point_code, m.routing_context, m.network_appearance, m.heartbeat_ms,
+        m.enabled, m.listen, m.point_code, m.routing_context, m.network_appearance, m.heartbeat,
         m.circuits, o.etcd.enabled,
     )  # fmt: skip
 
 
-def _desks(m: M3uaTable) -> list[Told]:
+def _desks(m: ControllerM3ua) -> list[Told]:
     return [
         Told(d.uid, d.address, d.zone, d.exchange, IN_SERVICE, 0, "m3ua", d.point_code, d.circuits)
         for d in m.desks
     ]
 
 
-def _numbers(m: M3uaTable) -> tuple[NumberRule, ...]:
+def _numbers(m: ControllerM3ua) -> tuple[NumberRule, ...]:
     return tuple(NumberRule(n.prefix, n.exchange) for n in m.numbers)
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -21,8 +21,9 @@
 from arrowrail.wire.sip.front import SipFront
 
 if TYPE_CHECKING:
-    from arrowrail.config.model import Operator
+    from arrowrail.config.records import Controller
     from arrowrail.run.extras import Extras
+    from arrowrail.run.result import Result
 
 # After SIGTERM connections come for up to 0.4 s more, and requests on them for 0.2 s after that.
 STILL_COMING_NS = 700 * MS
@@ -31,7 +32,7 @@
 
 
 class Program:
-    def __init__(self, config: Config, operator: Operator | None = None) -> None:
+    def __init__(self, config: Config, operator: Controller | None = None) -> None:
         self.loop = Loop()
         self.core = Core(config.settings, config.seed, self.loop.deadlines)
         # A few connections to each desk exchange, from what callers leave of the descriptors.
@@ -63,7 +64,7 @@
             logger.info("signal {}: finishing {} requests", number, self.core.unanswered)
             self.loop.deadlines.at(self.stopping_at, lambda: None)
 
-    def reload(self, config: Config, operator: Operator | None = None) -> None:
+    def reload(self, config: Config, operator: Controller | None = None) -> None:
         """Take up what may change under way; nothing that is in flight is touched."""
         kept = replace(config, bus=self.config.bus, sockets=self.config.sockets, known=(), offset=0, seed=0)
         if kept != replace(self.config, known=(), offset=0, seed=0):
@@ -73,7 +74,7 @@
         self.bus.move(config.bus)
         if self.extras is not None and operator is not None:
             self.extras.reload(operator)
-            log_to(operator.log.level)
+            log_to(operator.log.level, operator.log.form)
         logger.info("reloaded; the event bus is at {}", config.bus or "no address")
 
     def turn(self) -> None:
@@ -98,52 +99,69 @@
         logger.info("stopped; {} checks fired", self.core.defects)
 
 
-def read_operator(path: Path, config: Config) -> Operator | None:
-    """The operator's file under the tool's own check; every fault is logged."""
-    from arrowrail.config.model import check_against, read
-
-    operator, faults = read(path)
-    if operator is not None:
-        faults = check_against(str(path), operator, (c.name for c in config.settings.classes))
-    for fault in faults:
-        logger.error("{}", fault)
-    return None if faults else operator
-
-
-def read_all(path: Path | None) -> tuple[Config, Operator | None] | None:
-    """Both files under the whole check; ``None``, and every fault in the log, where one is not good."""
+def read_platform() -> Config | None:
+    """What the platform says; ``None``, and the fault in the log, where it can't be used."""
     try:
-        config = from_environment()
+        return from_environment()
     except Exception as wrong:
         # Whatever is wrong with a file, also in ways its reader did not foresee: at a reload the old one
         # stays in force, and a fault in it must not end the process.
         logger.error("configuration: {!r}", wrong)
         return None
-    operator = read_operator(path, config) if path is not None else None
-    return None if path is not None and operator is None else (config, operator)
+
+
+def _asked(path: Path, config: Config) -> tuple[str, Path, list[str]]:
+    return "controller", path, [c.name for c in config.settings.classes]
+
+
+def _taken(result: Result) -> Controller | None:
+    for fault in result.faults:
+        logger.error("{}", fault)
+    controller: Controller | None = result.value
+    return controller
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m arrowrail", description="One call controller.")
+    parser = argparse.ArgumentParser(
+        prog="python -m arrowrail", description="One call controller, as the platform starts it.",
+        epilog="Sub-commands: sidecar, config, drill; see python -m arrowrail COMMAND --help.",
+    )  # fmt: skip
     parser.add_argument(
-        "--config", type=Path, help="the operator's file; absent: only what the platform says"
+        "--config", type=Path, help="the operator's records; absent: only what the platform says"
     )
     path: Path | None = parser.parse_args().config
     log_to(os.environ.get("ARROWRAIL_LOG", "INFO"))
-    found = read_all(path)
-    if found is None:
+    config, operator = read_platform(), None
+    if config is None:
         return 1
-    config, operator = found
-    if operator is not None:
-        log_to(operator.log.level)
+    if path is not None:
+        # Read in a process of its own, as at a reload: imported only where a file is named.
+        from arrowrail.run.reading import Reading, read_now
+
+        operator = _taken(read_now(*_asked(path, config)))
+        if operator is None:
+            return 1
+        log_to(operator.log.level, operator.log.form)
     program = Program(config, operator)
+    kept = "reload: the file is not good; the configuration of before stays"
 
     def again() -> None:
-        read = read_all(path)
-        if read is None:
-            logger.error("reload: the file is not good; the configuration of before stays")
+        config = read_platform()
+        if config is None:
+            logger.error(kept)
+        elif path is None:
+            program.reload(config)
+        else:
+            reading.ask(*_asked(path, config))
+
+    def read(result: Result) -> None:
+        operator, config = _taken(result), read_platform()
+        if operator is None or config is None:
+            logger.error(kept)
         else:
-            program.reload(*read)
+            program.reload(config, operator)
 
+    if path is not None:
+        reading = Reading(program.loop, read)
     program.run(again)
     return 0
--- a/arrowrail/sidecar/reading.py
+++ b/arrowrail/run/reading.py
@@ -5,74 +5,74 @@
 import pickle
 import subprocess
 import sys
-from collections.abc import Callable, Mapping
-from pathlib import Path
+from collections.abc import Callable
+from typing import Any
 
 from arrowrail.loop import READ, Loop
-from arrowrail.sidecar.compile import Result
+from arrowrail.run.result import Result
 from arrowrail.state.deadlines import Deadline
 
 LONGEST_S = 60
 MAX_RESULT = 64 << 20  # bytes of a result: an inventory of 10,000 exchanges is a tenth of it
 CHUNK = 256 * 1024
+Asked = tuple[Any, ...]  # the reader's kind and its arguments
 Done = Callable[[Result], None]
 
 
-def _start(folder: Path, name: str, numbers: Mapping[str, int]) -> subprocess.Popen[bytes]:
+def _start(asked: Asked) -> subprocess.Popen[bytes]:
     child = subprocess.Popen(
-        [sys.executable, "-m", "arrowrail.sidecar.reader", str(folder), name],
-        stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-    )  # fmt: skip
+        [sys.executable, "-m", "arrowrail.run.reader"], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
     assert child.stdin is not None
-    child.stdin.write(pickle.dumps(dict(numbers)))  # some kilobytes: the pipe holds them
+    child.stdin.write(pickle.dumps(asked))  # some kilobytes: the pipe holds them
     child.stdin.close()
     return child
 
 
-def read_now(folder: Path, name: str) -> Result:
+def read_now(*asked: Any) -> Result:
     """At the start, before anything is served: wait for it."""
-    child = _start(folder, name, {})
+    child = _start(asked)
     assert child.stdout is not None
-    try:
+    with child.stdout:
         data = child.stdout.read(MAX_RESULT)
-        child.wait(LONGEST_S)
+    try:
+        return _result(data, child.wait(LONGEST_S))
     except subprocess.TimeoutExpired:
         child.kill()
         child.wait()
-        return Result(None, (f"{folder}: not read within {LONGEST_S} s",))
-    return _result(data, child.returncode, folder)
+        return Result(None, (f"not read within {LONGEST_S} s",))
 
 
-def _result(data: bytes, code: int | None, folder: Path) -> Result:
+def _result(data: bytes, code: int | None) -> Result:
     if code != 0 or not data:
-        return Result(None, (f"{folder}: the reader ended with {code}",))
+        return Result(None, (f"the reader ended with {code}",))
     result = pickle.loads(data)
-    return result if isinstance(result, Result) else Result(None, (f"{folder}: no result",))
+    return result if isinstance(result, Result) else Result(None, ("the reader brought no result",))
 
 
 class Reading:
     """One reading under way at most; asked again meanwhile, it begins anew once that one has ended."""
 
-    def __init__(self, loop: Loop, folder: Path, name: str, done: Done) -> None:
-        self.loop, self.folder, self.name, self.done = loop, folder, name, done
+    def __init__(self, loop: Loop, done: Done) -> None:
+        self.loop, self.done = loop, done
         self._child: subprocess.Popen[bytes] | None = None
         self._data = bytearray()
         self._late: Deadline | None = None
-        self._again: Mapping[str, int] | None = None
+        self._again: Asked | None = None
 
     @property
     def busy(self) -> bool:
         return self._child is not None
 
-    def ask(self, numbers: Mapping[str, int]) -> None:
+    def ask(self, *asked: Any) -> None:
         if self._child is not None:
             # What is being read may be older than the file that this signal speaks of.
-            self._again = dict(numbers)
+            self._again = asked
             return
         try:
-            child = self._child = _start(self.folder, self.name, numbers)
+            child = self._child = _start(asked)
         except OSError as why:  # no descriptor or no memory for a process
-            self.done(Result(None, (f"{self.folder}: the reader can't be started: {why.strerror}",)))
+            self.done(Result(None, (f"the reader can't be started: {why.strerror}",)))
             return
         assert child.stdout is not None
         self._data = bytearray()
@@ -87,7 +87,7 @@
         if data and len(self._data) + len(data) <= MAX_RESULT:
             self._data += data
             return
-        self._end(_result(bytes(self._data), self._reap(), self.folder))
+        self._end(_result(bytes(self._data), self._reap()))
 
     def _reap(self) -> int | None:
         child = self._child
@@ -106,7 +106,7 @@
         if self._child is not None:
             self._child.kill()
             self._reap()
-            self._end(Result(None, (f"{self.folder}: not read within {LONGEST_S} s",)))
+            self._end(Result(None, (f"not read within {LONGEST_S} s",)))
 
     def _end(self, result: Result) -> None:
         self._child = None
@@ -114,7 +114,7 @@
             self._late.cancel()
         again, self._again = self._again, None
         if again is not None:
-            self.ask(again)  # only the latest counts
+            self.ask(*again)  # only the latest counts
         else:
             self.done(result)
 
--- a/arrowrail/sidecar/compile.py
+++ b/arrowrail/sidecar/compile.py
@@ -81,15 +81,6 @@
     links_each: int
 
 
-@dataclass(frozen=True, slots=True)
-class Result:
-    """A reading's outcome: what it means, or why it can't take effect."""
-
-    compiled: Compiled | None
-    faults: tuple[str, ...] = ()
-    codes: tuple[str, ...] = ()
-
-
 def compile_(a: Application, v: Inventory, numbers: Mapping[str, int] | None = None) -> Compiled:
     """``numbers`` keeps exchanges the numbers that a running sidecar has given them."""
     if v.site is None:
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -12,11 +12,11 @@
 from arrowrail.run.config import Config
 from arrowrail.run.log import event, log_to
 from arrowrail.run.main import Program
-from arrowrail.sidecar.compile import Compiled, Result
+from arrowrail.run.reading import Reading, read_now
+from arrowrail.run.result import Result
+from arrowrail.sidecar.compile import Compiled
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
-from arrowrail.sidecar.reading import Reading, read_now
-from arrowrail.state.slots import SlotTable
 
 if TYPE_CHECKING:
     from arrowrail.wire.m3ua.rules import ClassRule
@@ -34,7 +34,8 @@
         self.core: Core = self.program.core
         self.door = self.core.door = RecordsDoor(compiled, self.program.loop.now)
         self.program.front.most_callers = compiled.connections
-        self.reading = Reading(self.program.loop, folder, compiled.application, self._read)
+        self.reading = Reading(self.program.loop, self._read)
+        self.folder = folder
         self.numbers: dict[str, int] = {line.name: line.number for line in compiled.lines}
         self._m3ua = _signalling(self.program, compiled)
         self._alone_since: dict[int, int] = {}  # by front: since when it has had no connection
@@ -71,16 +72,16 @@
 
     def reload(self) -> None:
         event("reload.asked", "the records are read again")
-        self.reading.ask(self.numbers)
+        self.reading.ask("sidecar", self.folder, self.compiled.application, self.numbers)
 
     def _read(self, result: Result) -> None:
-        if result.compiled is None:
+        if result.value is None:
             for fault in result.faults:
                 event("reload.fault", "{fault}", level="ERROR", fault=fault)
             event("reload.kept", "the records are not good; those of before stay", level="ERROR",
                   codes=sorted(set(result.codes)))  # fmt: skip
             return
-        self.take_up(result.compiled)
+        self.take_up(result.value)
 
     def take_up(self, new: Compiled) -> None:
         """Take up what may change under way; nothing that is in flight is touched."""
@@ -140,7 +141,7 @@
 
 
 def _connections(front: Front) -> int:
-    held: SlotTable[Any] = getattr(front, "callers", None) or getattr(front, "links", SlotTable())
+    held: Any = getattr(front, "callers", None) or getattr(front, "links", ())
     return len(held)
 
 
@@ -200,12 +201,12 @@
 def main(application: str, folder: Path, form: str | None = None) -> int:
     """Start the sidecar of an application; returns the process's exit code: 0, 1 faults, 3 no port."""
     log_to(os.environ.get("ARROWRAIL_LOG", "INFO"), form or "text")
-    result = read_now(folder, application)
-    if result.compiled is None:
+    result = read_now("sidecar", folder, application, {})
+    if result.value is None:
         for fault in result.faults:
             event("start.fault", "{fault}", level="ERROR", fault=fault)
         return FAULTS
-    compiled = result.compiled
+    compiled: Compiled = result.value
     log_to(compiled.log_level, form or compiled.log_form)
     sidecar = Sidecar(compiled, folder, int.from_bytes(os.urandom(8), "big"))
     try:
--- a/tests/live.py
+++ b/tests/live.py
@@ -17,7 +17,8 @@
 
 import orjson
 
-from arrowrail.config.model import Operator
+from arrowrail.config import records
+from arrowrail.config.records import Controller
 from arrowrail.run.config import Config
 from arrowrail.run.main import Program
 from arrowrail.wire.bus.messages import event_of
@@ -166,7 +167,7 @@
 class Running:
     """The program in a thread of this process, so that tests can look at its core."""
 
-    def __init__(self, config: Config, operator: Operator | None, per_desk: int) -> None:
+    def __init__(self, config: Config, operator: Controller | None, per_desk: int) -> None:
         self.program = Program(config, operator)
         back: Any = self.program.core.backs["binary"]
         back.per_desk = per_desk
@@ -219,7 +220,7 @@
 
 @contextmanager
 def running(
-    *targets: dict[str, Any], bus: str = "", operator: Operator | None = None, sockets: int = 1024,
+    *targets: dict[str, Any], bus: str = "", operator: Controller | None = None, sockets: int = 1024,
     info: dict[str, Any] | None = None, defects: int = 0, per_desk: int = 1,
 ) -> Iterator[Running]:  # fmt: skip
     """A program that was told of these desk exchanges; at the end no check of the core may have fired."""
@@ -306,14 +307,22 @@
                 return message
 
 
-def operator(**tables: Any) -> Operator:
-    return Operator.model_validate(_tuples({"application": "test", **tables}))
+def operator(**tables: Any) -> Controller:
+    """A controller's records from plain tables; times in ms under the names of before."""
+    m = dict(tables.get("m3ua", {}))
+    if "heartbeat_ms" in m:
+        m["heartbeat"] = m.pop("heartbeat_ms") * 1_000_000
+    m["classes"] = tuple(_rule(**c) for c in m.get("classes", ()))
+    m["numbers"] = tuple(records.NumberPrefix(**n) for n in m.get("numbers", ()))
+    m["desks"] = tuple(records.M3uaDesk(**d) for d in m.get("desks", ()))
+    return Controller(
+        application="test", log=records.Log(**tables.get("log", {})), m3ua=records.ControllerM3ua(**m),
+        etcd=records.ControllerEtcd(**tables.get("etcd", {})),
+    )  # fmt: skip
 
 
-def _tuples(value: Any) -> Any:
-    if isinstance(value, dict):
-        return {key: _tuples(v) for key, v in value.items()}
-    return tuple(_tuples(v) for v in value) if isinstance(value, list | tuple) else value
+def _rule(name: str, deadline_ms: int, **more: Any) -> records.BearerRule:
+    return records.BearerRule(class_=name, deadline=deadline_ms * 1_000_000, **more)
 
 
 def as_json(value: Any) -> bytes:
--- /dev/null
+++ b/tests/records/test_values.py
@@ -0,0 +1,105 @@
+"""Values and units: what unification promises, and spellings that read back as the same."""
+
+from __future__ import annotations
+
+from fractions import Fraction
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from arrowrail.config import units
+from arrowrail.config.faults import Faults
+from arrowrail.config.syntax import parse
+from arrowrail.config.values import Struct, plain
+
+QUICK = settings(max_examples=150, deadline=None, derandomize=True)
+
+
+def read(text: str) -> tuple[Any, list[str]]:
+    faults = Faults()
+    parsed = parse("t", text.encode(), faults)
+    assert isinstance(parsed.own, Struct)
+    found = {label: plain(entry.value, faults) for label, entry in parsed.own.public()}
+    return found, [f.code for f in faults]
+
+
+@pytest.mark.parametrize(
+    ("text", "value"),
+    [
+        ("a: 1 & int", 1),
+        ("a: *1 | int\na: 5", 5),
+        ("a: *1 | int", 1),
+        ('a: "x" | "y"\na: "y"', "y"),
+        ("a: >=1 & <=9 & 4", 4),
+        ("a: 250ms & duration & <1s", "250ms"),
+        ("a: 1000ms & 1s", "1s"),
+        ("a: {b: 1}\na: c: 2", {"b": 1, "c": 2}),
+        ("#t: {b: *1 | int, c: 2}\na: #t & {b: 7}", {"b": 7, "c": 2}),
+        ("x: y: 3\na: x.y", 3),
+        ("a: [string]: {w: *1 | int}\na: {p: {}, q: {w: 2}}", {"p": {"w": 1}, "q": {"w": 2}}),
+        ("a: [1, int]\na: [int, 2]", [1, 2]),
+        ('a: "z-1" & =~"^z-[0-9]"', "z-1"),
+        ("a: (1 | 2) & (2 | 3)", 2),
+        ("a: null", None),
+        ("a: 60/min", "1/s"),
+        ("a: 0.5%", "0.5%"),
+        ("a: 64KiB", "64KiB"),
+        ("a: 1 // a note\n// another\n", 1),
+    ],
+)  # fmt: skip
+def test_what_values_come_to(text: str, value: object) -> None:
+    found, codes = read(text)
+    assert codes == [] and found["a"] == value
+
+
+@pytest.mark.parametrize(
+    ("text", "codes"),
+    [
+        ("a: 1\na: 2", ["AR201"]),
+        ("a: 1s & int", ["AR202"]),
+        ("a: 5 & duration", ["AR203"]),
+        ("a: 5 & >9", ["AR211"]),
+        ("a: 1 | 2", ["AR210"]),
+        ("a: b\nb: a", ["AR209"]),
+        ("a: {b: 1}\na: [1]", ["AR201"]),
+        ("a: [1]\na: [1, 2]", ["AR201"]),
+        ('a: "x" & ("y" | "z")', ["AR212"]),
+        ('a: "x" & >3', ["AR202"]),
+        ("a: duration & rate", ["AR201"]),
+    ],
+)  # fmt: skip
+def test_what_values_exclude_one_another(text: str, codes: list[str]) -> None:
+    assert read(text)[1] == codes
+
+
+PIECES = st.lists(
+    st.sampled_from(["int", ">=2", "<=8", "*4 | int", "3 | 4 | 9", "4", "!=5", "number", "*3 | *4 | int"]),
+    min_size=1, max_size=5,
+)  # fmt: skip
+
+
+@QUICK
+@given(PIECES, st.randoms(use_true_random=False))
+def test_the_order_of_what_is_said_changes_nothing(pieces: list[str], shuffle: Any) -> None:
+    other = list(pieces)
+    shuffle.shuffle(other)
+    one = read("a: " + " & ".join(f"({p})" for p in pieces))
+    two = read("\n".join(f"a: {p}" for p in other))
+    assert one[0] == two[0]
+    assert bool(one[1]) == bool(two[1])
+
+
+@QUICK
+@given(st.integers(0, 10**18))
+def test_durations_read_back(value: int) -> None:
+    assert units.read(units.write(units.DURATION, value)) == (units.DURATION, value)
+
+
+@QUICK
+@given(st.integers(0, 10**9), st.sampled_from([1, 2, 4, 5, 8, 10, 100]))
+def test_shares_and_rates_read_back(above: int, below: int) -> None:
+    value = Fraction(above, below)
+    for kind in (units.SHARE, units.RATE):
+        assert units.read(units.write(kind, value)) == (kind, value)
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -5,11 +5,12 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
-from arrowrail.config.model import Operator
+from arrowrail.config.records import Controller
 from arrowrail.wire.desk import binary
 from arrowrail.wire.m3ua import causes
 from arrowrail.wire.m3ua import front as m3ua_front
@@ -36,7 +37,7 @@
 CALL = "00000000000000a1"
 
 
-def configured(*desks: dict[str, Any], deadline_ms: int = 8000) -> Operator:
+def configured(*desks: dict[str, Any], deadline_ms: int = 8000) -> Controller:
     return operator(
         m3ua={
             "enabled": True, "listen": "127.0.0.1:0", "point_code": OWN, "circuits": 10, "desks": desks,
@@ -404,9 +405,8 @@
 
 
 def test_a_silent_peer_is_cut_off_by_missed_heartbeats() -> None:
-    described = configured().model_dump()
-    described["m3ua"]["heartbeat_ms"] = 100
-    with running(operator=operator(m3ua=described["m3ua"])) as run:
+    file = configured()
+    with running(operator=replace(file, m3ua=replace(file.m3ua, heartbeat=100_000_000))) as run:
         peer = client(run)
         assert peer.wants(Kind.BEAT).parameters[Tag.HEARTBEAT]
         assert peer.closed()
