Run groups of instances: authenticated datagrams, memory, probes, the duties drill

Need: the decisions about members, leases and duties have to run on sockets and files, beside calls, and be shown with real processes. Change: package group (an instance's decisions taken together; the runtime on the loop with its control socket), wire/group (MessagePack under HMAC with keys that can be rolled, replay window), storage (a keeper that writes and syncs off the loop), probes of exchanges fenced by epoch, the group section of the records with checks, members and duties commands, a relay and the drill duties, a simulated group for the benchmark. Off unless an application's records name a group; the platform's records know no such key.

--- a/arrowrail/cli/__init__.py
+++ b/arrowrail/cli/__init__.py
@@ -15,11 +15,13 @@
 
 
 def main() -> int:
-    from arrowrail.cli import bench, config, drill, sidecar
+    from arrowrail.cli import bench, config, drill, group, sidecar
 
     app.add_typer(config.app, name="config")
     app.command("sidecar")(sidecar.sidecar)
     app.command("drill")(drill.drill)
     app.command("bench")(bench.bench)
+    app.command("members")(group.members)
+    app.command("duties")(group.duties)
     app(prog_name="python -m arrowrail")
     return 0
--- a/arrowrail/cli/drill.py
+++ b/arrowrail/cli/drill.py
@@ -13,6 +13,7 @@
     name: Annotated[str, typer.Argument(help="sidecar; 'list' names all")],
     seed: Annotated[int, typer.Option(help="draws the times and faults; any must pass")] = 1,
     as_json: Annotated[bool, typer.Option("--json", help="the result as one JSON object")] = False,
+    instances: Annotated[int, typer.Option(help="of the group, in the drill duties")] = 5,
     short: Annotated[bool, typer.Option("--short", help="a shorter play of the same cases")] = False,
     keep: Annotated[Path | None, typer.Option(help="an empty folder that keeps ledgers and logs")] = None,
 ) -> None:
@@ -32,7 +33,8 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = keep if keep is not None else Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        outcome = play(seed, folder.resolve(), short)
+        more = {"instances": instances} if name == "duties" else {}
+        outcome = play(seed, folder.resolve(), short, **more)
     if as_json:
         typer.echo(orjson.dumps(outcome.as_json()).decode())
     else:
--- a/arrowrail/config/faults.py
+++ b/arrowrail/config/faults.py
@@ -182,6 +182,28 @@
         "the second could never be taken",
         "make category or requirement differ",
     ),
+    "AR501": Code(
+        "an even number of members",
+        "one more member would not make the group survive one more loss",
+        "use an odd number",
+        WARNING,
+    ),
+    "AR502": Code(
+        "this instance and its group do not fit", "the others would not know it", "mend what is named"
+    ),
+    "AR503": Code(
+        "a period shorter than a run or a lease",
+        "runs would overlap, or a take-over miss periods",
+        "lengthen it",
+    ),
+    "AR504": Code(
+        "no key that can be used", "nothing that is sent would be believed", "32 hexadecimal digits or more"
+    ),
+    "AR505": Code(
+        "a change of more than the group can make",
+        "two halves could both grant one duty",
+        "list under joining all members as they will be",
+    ),
     "AR401": Code(
         "a pool of a single exchange without a fall-back",
         "its drain leaves the class without a way",
--- a/arrowrail/config/records.py
+++ b/arrowrail/config/records.py
@@ -193,6 +193,33 @@
     prefix: str = key(Text(256), "etcd's key prefix", "/arrowrail/desks/")
 
 
+@record
+class Group(Record):
+    """The instances that share periodic duties, and this one's part among them."""
+
+    group: str = key(Text(64), "the group's name, the same at all")
+    me: str = key(Text(64), "this instance's own name")
+    listen: str = key(Address(), "where the others reach it, over UDP")
+    bind: str | None = key(Maybe(Address()), "its own socket, where that is another address", None)
+    members: dict[str, str] = key(MapOf(Address()), "who grants duties: an odd number, the same at all")
+    joining: dict[str, str] = key(
+        MapOf(Address()), "the members after a change of the group; first this at all, then members", {}
+    )
+    seeds: tuple[str, ...] = key(ListOf(Address()), "further addresses at which the group may be found", ())
+    keys: dict[str, str] = key(MapOf(Text(128)), "keys by number 1 to 255: 32 hexadecimal digits or more")
+    send_key: int = key(Whole(1, 255), "the key that is sent under; all others listed are accepted")
+    lease: int = key(Quantity(DURATION, S, 60 * S), "how long a duty is granted for", 3 * S)
+    drift: Fraction = key(
+        Quantity(SHARE, Fraction(0), Fraction(1, 5)), "how wrong any clock's rate may be", Fraction(1, 100)
+    )
+    memory: str = key(Text(256), "folder that keeps promises; empty: a start sits a lease out", "")
+    control: str = key(Text(100), "path of the control socket; empty: none", "")
+    probe_period: int = key(
+        Quantity(DURATION, 500 * MS, 3600 * S), "each exchange is probed once in it, by one instance", 10 * S
+    )
+    probe_time_out: int = key(Quantity(DURATION, 10 * MS, 60 * S), "a probe unanswered so long failed", S)
+
+
 @record
 class Log(Record):
     """What is logged, on standard error."""
@@ -219,6 +246,7 @@
         30 * S,
     )
     redials_marked: bool = key(Flag(), "its callers mark redials with X-Retry", True)
+    group: Group | None = key(Maybe(RecordOf(Group)), "periodic duties shared with other instances", None)
     log: Log = key(RecordOf(Log), "what its sidecar logs", Log)
 
 
--- a/arrowrail/config/rules.py
+++ b/arrowrail/config/rules.py
@@ -299,8 +299,42 @@
                    f"{a.list.kind} without an address", "add address")  # fmt: skip
 
 
+def group(a: Application, v: Inventory, faults: Faults) -> None:
+    g = a.group
+    if g is None:
+        return
+    key = f"application.{a.name}.group"
+    for name, table in (("members", g.members), ("joining", g.joining)):
+        if table and len(table) % 2 == 0:
+            faults.add("AR501", g.place(name), f"{key}.{name}", f"{len(table)} {name}")
+    for name, address in {**g.members, **g.joining}.items():
+        if name == g.me and host_port(address) != host_port(g.listen):
+            faults.add("AR502", g.place("listen"), f"{key}.listen", f"{g.listen}, where {name} is {address}")
+        other = next(
+            (n for n, x in g.members.items() if n != name and host_port(x) == host_port(address)), ""
+        )
+        if other and name in g.members and name > other:
+            faults.add(
+                "AR502", g.place(f"members.{name}"), f"{key}.members.{name}", f"{address} is {other}'s"
+            )
+    if not g.members and "members" in g.places:
+        faults.add("AR216", g.place("members"), f"{key}.members", "no member")
+    if g.probe_time_out >= g.probe_period:
+        faults.add("AR503", g.place("probe_period"), f"{key}.probe_period",
+                   f"{_ns(g.probe_period)}, and a run may take {_ns(g.probe_time_out)}",
+                   other=g.place("probe_time_out"))  # fmt: skip
+    for number, text in g.keys.items():
+        good = number.isdigit() and 1 <= int(number) <= 255 and len(text) >= 32 and len(text) % 2 == 0
+        if not good or any(c not in "0123456789abcdefABCDEF" for c in text):
+            faults.add("AR504", g.place(f"keys.{number}"), f"{key}.keys.{number}", f"key {shown(number)}")
+    if str(g.send_key) not in g.keys:
+        faults.add("AR504", g.place("send_key"), f"{key}.send_key", f"no key {g.send_key} among keys")
+    if g.joining and not set(g.members) & set(g.joining):
+        faults.add("AR505", g.place("joining"), f"{key}.joining", "none of the members stays")
+
+
 APPLICATION_RULES: tuple[Callable[[Application, Inventory, Faults], None], ...] = (
-    listeners, times, pools_of_classes, limits, signalling, source,
+    listeners, times, pools_of_classes, limits, signalling, source, group,
 )  # fmt: skip
 
 
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -22,6 +22,7 @@
 from arrowrail.config.folder import check
 from arrowrail.core import Answer, Core, Ended, Offer, Request
 from arrowrail.lab.processes import ROOT, Crew, free_ports, listens, until
+from arrowrail.lab.simgroup import movement, traffic
 from arrowrail.lab.unlimited import NoLimits
 from arrowrail.sidecar.compile import compile_
 from arrowrail.sidecar.door import RecordsDoor
@@ -248,3 +249,5 @@
     yield "limits, no sockets", limits_cost()
     yield "limits, on sockets", on_sockets()
     yield "memory", memory(before)
+    yield "a death's duties", [movement(size) for size in (5, 50, 500)]
+    yield "group, simulated", [traffic(5, 50, 60), traffic(50, 50, 30), traffic(500, 50, 5)]
--- a/arrowrail/lab/drills/__init__.py
+++ b/arrowrail/lab/drills/__init__.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from importlib import import_module
-from pathlib import Path
 from typing import Any
 
-NAMES = {"sidecar": "three sidecars, their applications and exchanges: surge, drain, reload, kills"}
+NAMES = {
+    "sidecar": "three sidecars, their applications and exchanges: surge, drain, reload, kills",
+    "duties": "instances that share the probing of exchanges: kill, hang, split, a key rolled",
+}
 
 
 @dataclass(slots=True)
@@ -31,7 +33,7 @@
         }  # fmt: skip
 
 
-Play = Callable[[int, Path, bool], Outcome]
+Play = Callable[..., Outcome]
 
 
 def load(name: str) -> Play:
--- a/arrowrail/lab/exchange.py
+++ b/arrowrail/lab/exchange.py
@@ -87,6 +87,7 @@
         self.peers: dict[Peer, None] = {}
         self.started = loop.now
         self._told_at = 0
+        self.fences: dict[str, int] = {}  # by duty: the highest epoch that was seen
         self.told_late: list[tuple[int, DeskMessage]] = []
         self.listener = Listener(loop, address, lambda s: Peer(self, s), lambda: True, lambda: False)
         for fault in faults:
@@ -112,7 +113,17 @@
             self._free(m.call)
             peer.say(DeskMessage(binary.RELEASE_HEARD, m.call))
         elif m.kind == binary.TEST:
-            peer.say(DeskMessage(binary.TESTED, m.call, cause=1))
+            self._test(peer, m)
+
+    def _test(self, peer: Peer, m: DeskMessage) -> None:
+        """A probe under a fence ``DUTY EPOCH RUN HOLDER``: an older epoch than was seen is refused."""
+        duty, epoch, run, holder = [*m.number.split(" "), "0", "0", ""][:4]
+        newest = self.fences.get(duty, 0)
+        fresh = int(epoch) >= newest
+        self.fences[duty] = max(newest, int(epoch))
+        self.ledger.say("probe", duty=duty, epoch=int(epoch), run=int(run), by=holder, fresh=fresh)
+        if not self._under("silent"):
+            peer.say(DeskMessage(binary.TESTED, m.call, cause=int(fresh)))
 
     def _set_up(self, peer: Peer, m: DeskMessage) -> None:
         call = f"{m.call:016x}"
--- a/arrowrail/lab/judge.py
+++ b/arrowrail/lab/judge.py
@@ -23,7 +23,7 @@
     """What was found; ``broken`` names each breach with its call or exchange."""
 
     broken: list[str] = field(default_factory=list)
-    figures: dict[str, float] = field(default_factory=dict)
+    figures: dict[str, Any] = field(default_factory=dict)
 
     def need(self, holds: bool, what: str) -> None:
         if not holds:
--- a/arrowrail/membership/swim.py
+++ b/arrowrail/membership/swim.py
@@ -2,8 +2,8 @@
 
 After Das, Gupta and Motivala ("SWIM", 2002) and Dadgar, Phillips and Currey ("Lifeguard", 2018): each period
 one member is probed, directly and then through others; who does not answer is suspected, and dead unless it
-refutes in time.  What is known of a member is a point in one order, (incarnation, state): the greater one wins,
-whoever tells it, however late and however often.  So all who hear the same rumours come to the same view.
+refutes in time.  What is known of a member is a point in one order, (incarnation, state): the greater one
+wins, whoever tells it, however late and however often.  So all who hear the same come to the same view.
 
 An instance that is slow itself waits longer before it judges others, and one that stood still judges nobody
 by what it missed.  Splits heal because the dead are asked now and then.
--- a/arrowrail/sidecar/compile.py
+++ b/arrowrail/sidecar/compile.py
@@ -10,6 +10,7 @@
 
 from arrowrail.config.records import Application, Exchange, Site
 from arrowrail.config.rules import Inventory, links_each
+from arrowrail.group.plan import GroupPlan
 from arrowrail.limits import plan as limits
 from arrowrail.pools import plan as pools
 from arrowrail.pools.plan import fallback_order, route_name
@@ -79,6 +80,7 @@
     log_level: str
     log_form: str
     links_each: int
+    group: GroupPlan | None = None
 
 
 def compile_(a: Application, v: Inventory, numbers: Mapping[str, int] | None = None) -> Compiled:
@@ -101,7 +103,18 @@
         a.name, v.site.label, _settings(a, v, plan), _limits(a, v), plan, _classes(a, v),
         tuple(_line(v.exchanges[n], known[n], v) for n in sorted(reached) if n in v.exchanges),
         _links(a, v.site), a.limits.connections, a.orphans, a.log.level, a.log.form,
-        links_each(a.descriptors),
+        links_each(a.descriptors), _group(a),
+    )  # fmt: skip
+
+
+def _group(a: Application) -> GroupPlan | None:
+    g = a.group
+    if g is None:
+        return None
+    return GroupPlan(
+        g.group, g.me, g.listen, g.bind or g.listen, dict(g.members), dict(g.joining), g.seeds,
+        {int(n): bytes.fromhex(text) for n, text in g.keys.items()}, g.send_key, g.lease,
+        int(g.drift * 1_000_000), g.memory, g.control, g.probe_period, g.probe_time_out,
     )  # fmt: skip
 
 
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -18,12 +18,18 @@
 from arrowrail.sidecar.compile import Compiled
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
+from arrowrail.state.directory import IN_SERVICE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from arrowrail.group.instance import Run
+    from arrowrail.group.runtime import Group
     from arrowrail.wire.m3ua.rules import ClassRule
 
 GOOD, FAULTS, NO_PORT = 0, 1, 3
 TICK_NS = 250 * MS
+PROBE = "probe:"  # and the exchange's name: a duty
 
 
 class Sidecar:
@@ -39,6 +45,7 @@
         self.folder, self.form = folder, form  # the form of logs, where the command line names it
         self.numbers: dict[str, int] = {line.name: line.number for line in compiled.lines}
         self._m3ua = _signalling(self.program, compiled)
+        self.group: Group | None = None
         self._alone_since: dict[int, int] = {}  # by front: since when it has had no connection
 
     # --- Start ------------------------------------------------------------------------------------------
@@ -53,6 +60,11 @@
         self.program.start()
         if self._m3ua is not None:
             self._m3ua.start()
+        if c.group is not None:
+            from arrowrail.group.runtime import Group
+
+            self.group = Group(loop, c.group, self._probe, int.from_bytes(os.urandom(8), "big"))
+            self.group.set_duties(self._duties())
         loop.deadlines.at(loop.now + TICK_NS, self._tick)
         # What lives as long as the process is left out of every later look for garbage.
         gc.collect()
@@ -68,10 +80,37 @@
         on_signal(self.program.loop, self.program.stop, self.reload)
         self.start()
         while not self.program.done():
-            self.program.turn()
+            self._turn()
         self.reading.close()
+        if self.group is not None:
+            self.group.close()
         event("sidecar.stopped", "{defects} checks fired", defects=self.core.defects)
 
+    def _turn(self) -> None:
+        """Calls first; background work takes what its budgets leave it."""
+        self.program.turn()
+        if self.group is not None:
+            self.group.background(busy=bool(self.core.events or self.core.unanswered))
+
+    def _duties(self) -> list[str]:
+        lines = self.compiled.lines
+        return [f"{PROBE}{line.name}" for line in lines if line.signalling == "binary"]
+
+    def _probe(self, run: Run, done: Callable[[bool], None]) -> bool:
+        """One probe of an exchange in service, under the fence of its duty's epoch."""
+        name = run.duty.removeprefix(PROBE)
+        group = self.compiled.group
+        desks = [d for d in self.core.directory.desks.values() if d.told.uid.partition("@")[0] == name]
+        desk = next((d for d in desks if d.told.state == IN_SERVICE), None)
+        if desk is None or group is None:
+            return False
+        fence = f"{run.duty} {run.epoch} {run.run} {group.name}"
+        back: Any = self.core.backs["binary"]
+        if not back.probe(desk, fence, group.probe_time_out_ns, done):
+            done(False)
+            return False
+        return True
+
     # --- Reload -----------------------------------------------------------------------------------------
 
     def reload(self) -> None:
@@ -107,6 +146,9 @@
         self.program.front.most_callers = new.connections
         if self._m3ua is not None:
             self._m3ua.use(new)
+        if self.group is not None and new.group is not None:
+            self.group.use(new.group)
+            self.group.set_duties(self._duties())
         log_to(new.log_level, self.form or new.log_form)
         event(
             "reload.done", "{changed} exchanges changed, {routes} routes go elsewhere", changed=len(news),
--- /dev/null
+++ b/arrowrail/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files that outlive the process, written off the loop."""
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import errno
+from collections.abc import Callable
 from functools import partial
 
 from loguru import logger
 
 from arrowrail.core import LINK_BROKE, MS, Q850_NORMAL, Core, Ended, Offer
 from arrowrail.loop import Loop
+from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
@@ -18,6 +20,7 @@
 
 OWED = "release"  # names releases among the messages of a connection; no call's id looks like it
 OWED_KEPT = 200  # and of the set-ups given up lately
+PROBE_CALLS = 0xF0BE << 48  # the ids of tests lie above it
 UNFINISHED_NS = 500 * MS  # a message has 16 KiB at most: the rest of one is there within two round trips
 # Release causes of an unanswered set-up, as outcomes of the module.
 OUTCOMES = {34: "turned_away", 17: "server_error", 47: "server_error", 102: "not_sent", 41: "connection_lost"}
@@ -195,6 +198,8 @@
         self.per_desk = per_desk
         self.desks: dict[int, Links] = {}
         self.spoilt_seen = Tally(loop)
+        self.probes: dict[int, tuple[Callable[[bool], None], Deadline]] = {}  # tests that are out
+        self._tests = 0
         core.backs["binary"] = self
 
     def spoilt(self, desk: Desk, why: str) -> None:
@@ -254,6 +259,27 @@
         if links is not None:
             links.send(DeskMessage(binary.RELEASE, int(call, 16), cause=cause), OWED)
 
+    def probe(self, desk: Desk, fence: str, wait_ns: int, done: Callable[[bool], None]) -> bool:
+        """A test of the exchange, fenced by an epoch; ``done`` hears once whether it passed.
+
+        False: no connection is up, so that nothing left.
+        """
+        links = self.desks.get(desk.office)
+        link = links.pick() if links is not None else None
+        if link is None or not link.up or link.stream is None:
+            return False
+        self._tests += 1
+        call = PROBE_CALLS | self._tests
+        late = self.loop.deadlines.at(self.loop.now + wait_ns, lambda: self._untested(call))
+        self.probes[call] = (done, late)
+        link.stream.send(binary.encode(DeskMessage(binary.TEST, call, number=fence)))
+        return True
+
+    def _untested(self, call: int) -> None:
+        probed = self.probes.pop(call, None)
+        if probed is not None:
+            probed[0](False)
+
     # --- From the desk exchanges ------------------------------------------------------------------------
 
     def message(self, link: Link, m: DeskMessage) -> None:
@@ -273,6 +299,11 @@
                 link.stream.send(binary.encode(DeskMessage(binary.RELEASE_HEARD, m.call)))
         elif m.kind == binary.GROUP and m.size >= 0:
             self.core.group_state(link.desk, m.free, m.size)
+        elif m.kind == binary.TESTED:
+            probed = self.probes.pop(m.call, None)
+            if probed is not None:
+                probed[1].cancel()
+                probed[0](m.cause == 1)
         elif m.kind == binary.TEST and link.stream is not None:
             link.stream.send(binary.encode(DeskMessage(binary.TESTED, m.call, cause=1)))
         elif m.kind == binary.SET_UP:
--- /dev/null
+++ b/arrowrail/wire/group/__init__.py
@@ -0,0 +1,1 @@
+"""Messages among instances: authenticated datagrams, and the socket that carries them."""
--- a/tests/records/corpus.py
+++ b/tests/records/corpus.py
@@ -40,6 +40,18 @@
   attempts: 2
 }
 """
+GROUP = """\
+  attempts: 2
+  group: {
+    group: "g"
+    me: "a"
+    listen: "127.0.0.1:7001"
+    members: {a: "127.0.0.1:7001"}
+    keys: "1": "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+    send_key: 1
+    probe_period: 10s
+  }
+"""
 PANELS = LIFTS.replace("lifts", "panels").replace("5081", "5082")
 GOOD = {"inventory.rail": INVENTORY, "lifts.rail": LIFTS, "panels.rail": PANELS}
 I, L, P = "inventory.rail", "lifts.rail", "panels.rail"
@@ -156,6 +168,12 @@
     Case("AR318", 3, 16, L, "127.0.0.1:5081", "0.0.0.0:5081"),
     Case("AR318", 3, 16, L, "127.0.0.1:5081", "10.0.0.1:5081"),
     Case("AR319", 2, 14, P, "application: panels", "application: lifts"),
+    Case("AR502", 14, 13, L, "  attempts: 2\n", GROUP.replace("7001\"}", "7009\"}")),
+    Case("AR503", 18, 19, L, "  attempts: 2\n", GROUP.replace("10s", "1s")),
+    Case("AR504", 17, 15, L, "  attempts: 2\n", GROUP.replace("send_key: 1", "send_key: 2")),
+    Case("AR504", 16, 11, L, "  attempts: 2\n", GROUP.replace("aaaaaaaaaaaaaaaa", "short")),
+    Case("AR505", 16, 14, L, "  attempts: 2\n",
+         GROUP.replace("    keys", '    joining: {z: "127.0.0.1:7005"}\n    keys')),
     Case("AR323", 11, 9, L, "  attempts: 2\n", '  attempts: 2\n  list: kind: "etcd"\n'),
 )  # fmt: skip
 
