--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -162,8 +162,21 @@
     return int(text.split("VmRSS:")[1].split()[0]) / 1024
 
 
-def on_sockets(seconds: float = 20.0, rate: float = 150.0) -> dict[str, Any]:
-    """Two sidecars side by side, one without limits, under the same load on real sockets."""
+GROUP = """  group: {{
+    group: "bench"
+    me: "{app}"
+    listen: "127.0.0.1:{port}"
+    members: "{app}": "127.0.0.1:{port}"
+    keys: "1": "00112233445566778899aabbccddeeff"
+    send_key: 1
+    probe_period: 500ms
+    probe_time_out: 200ms
+  }}
+"""
+
+
+def on_sockets(what: str = "limits", seconds: float = 20.0, rate: float = 150.0) -> dict[str, Any]:
+    """Two sidecars side by side, one without limits (or a group), under the same load on real sockets."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         conf = folder / "conf"
@@ -180,14 +193,19 @@
                 f'include "inventory.rail"\napplication: "{app}": {{\n'
                 f'  listen: sip: "127.0.0.1:{ports[2 + n]}"\n'
                 "  serves: [district.d]\n  calls: c: {give_up: 3s, time_out: 1300ms, pools: d: pool.p}\n"
-                "  limits: {open: 1000, rate: 1000/s}\n}\n"
+                "  limits: {open: 1000, rate: 1000/s}\n"
+                + (GROUP.format(app=app, port=ports[2]) if what == "group" and app == "with" else "")
+                + "}\n"
             )
         with Crew(folder) as crew:
             for n in range(2):
                 crew.start(f"e{n}", "arrowrail.lab.exchange", "--listen", f"127.0.0.1:{ports[n]}", "--ledger",
                            str(folder / f"e{n}.jsonl"), "--circuits", "2000", "--hold-ms", "300")  # fmt: skip
             crew.start("with", "arrowrail", "sidecar", "with", "--config", str(conf))
-            crew.start("without", "arrowrail.lab.unlimited", "without", str(conf))
+            if what == "group":
+                crew.start("without", "arrowrail", "sidecar", "without", "--config", str(conf))
+            else:
+                crew.start("without", "arrowrail.lab.unlimited", "without", str(conf))
             for port in ports:
                 until(lambda p=port: listens(p), f"port {port}")  # type: ignore[misc]
             before = {app: processor_s(crew.running[app].pid) for app in ("with", "without")}
@@ -203,7 +221,7 @@
     cost = {a: 1e6 * used[a] / max(1, count[a]) for a in before}
     return {
         "calls that stood": count,
-        "us a call with limits": round(cost["with"]),
+        f"us a call with {what}": round(cost["with"]),
         "us a call without": round(cost["without"]),
         "ratio on sockets": round(cost["with"] / cost["without"], 3),
         "sidecar's memory, MB": memory["with"],
@@ -248,6 +266,7 @@
     yield "check", list(check_times())
     yield "limits, no sockets", limits_cost()
     yield "limits, on sockets", on_sockets()
+    yield "duties, on sockets", on_sockets("group")
     yield "memory", memory(before)
     yield "a death's duties", [movement(size) for size in (5, 50, 500)]
     yield "group, simulated", [traffic(5, 50, 60), traffic(50, 50, 30), traffic(500, 50, 5)]
--- a/arrowrail/pools/book.py
+++ b/arrowrail/pools/book.py
@@ -15,6 +15,7 @@
 from arrowrail.pools.plan import Plan, PoolPlan, RoutePlan, district_of, route_name
 
 IN_USE, DRAINS, GONE, UNHEARD, UNREACHED = "in use", "drains", "gone", "not listed", "not reached"
+DOUBTED = "probes unanswered"
 NO_DISTRICT, NOT_CARRIED, NO_POOL = "no district", "class not carried there", "no pool"
 
 
@@ -44,6 +45,7 @@
     def __init__(self, plan: Plan) -> None:
         self._states: dict[int, str] = {}  # as listed, by exchange
         self._health: dict[int, Health] = {}
+        self._doubted: frozenset[int] = frozenset()  # by the probes of other instances
         self._credit: dict[str, dict[int, int]] = {}  # by route: smooth weighted rotation
         self._allowed: dict[str, Allowed] = {}
         self.plan = plan
@@ -86,6 +88,17 @@
         del self._health[exchange]
         return self._look_again() if back else {}
 
+    def doubted(self, exchanges: Iterable[int]) -> dict[str, Allowed]:
+        """Those whose probes went unanswered, as others tell: used only where a route has no other.
+
+        Guards against a fault of the probing instance's own, which must not take every exchange out.
+        """
+        found = frozenset(exchanges)
+        if found == self._doubted:
+            return {}
+        self._doubted = found
+        return self._look_again()
+
     def due(self, now: int) -> dict[str, Allowed]:
         """What has been out for long enough may be tried again."""
         over = [h for h in self._health.values() if h.due(now)]
@@ -105,7 +118,9 @@
         if listed != "in_service":
             return DRAINS if listed == "terminating" else GONE
         health = self._health.get(exchange)
-        return IN_USE if health is None or health.usable() else UNREACHED
+        if health is not None and not health.usable():
+            return UNREACHED
+        return DOUBTED if exchange in self._doubted else IN_USE
 
     def allowed(self, route: str) -> Allowed:
         return self._allowed.get(route, Allowed((), (), NOT_CARRIED))
@@ -154,6 +169,10 @@
         return changed
 
     def _work_out(self, route: RoutePlan) -> Allowed:
+        found = self._use(route, (IN_USE,))
+        return self._use(route, (IN_USE, DOUBTED)) if found.none and self._doubted else found
+
+    def _use(self, route: RoutePlan, states: tuple[str, ...]) -> Allowed:
         """Pool after pool, until what is in use carries the first pool's share to keep."""
         exchanges: list[int] = []
         pools: list[str] = []
@@ -166,7 +185,7 @@
                 continue
             if wanted is None:
                 wanted = pool.keep * pool.weight
-            used = [m for m in pool.members if self.state(m.exchange) == IN_USE]
+            used = [m for m in pool.members if self.state(m.exchange) in states]
             said.append(self._says(pool, len(used)))
             if used:
                 pools.append(name)
--- a/arrowrail/sidecar/door.py
+++ b/arrowrail/sidecar/door.py
@@ -14,6 +14,7 @@
 from trackhatch import interface as i
 
 NO_NEWS = ("not_sent", "no_answer", "called_off")  # outcomes that prove nothing of the way to an exchange
+PROOF_NS = 5_000_000_000  # how long an answer to a call of ours outweighs what probes say
 NO_WAY = Answer(REFUSED, outcome=NO_ROUTE)
 
 
@@ -24,6 +25,7 @@
         self.book = Book(compiled.pools)
         self.listing = Listing()
         self.refused: dict[str, int] = {}  # by reason, for operators
+        self._proved: dict[int, int] = {}  # by exchange: when a call of ours last got an answer there
         self._offices: dict[int, dict[int, str]] = {}  # by exchange: the state of each machine there
 
     def use(self, compiled: Compiled, now: int) -> tuple[list[Told], list[i.PoolNews]]:
@@ -86,8 +88,14 @@
             return _news(self.book.missed(now, desk.told.exchange))
         if outcome in NO_NEWS or cause == LINK_BROKE:
             return []
+        self._proved[desk.told.exchange] = now
         return _news(self.book.heard(desk.told.exchange))
 
+    def doubted(self, now: int, exchanges: Iterable[int]) -> list[i.PoolNews]:
+        """Exchanges that others' probes found silent; where our own calls are answered, those know better."""
+        lately = now - PROOF_NS
+        return _news(self.book.doubted(e for e in exchanges if self._proved.get(e, 0) < lately))
+
     # --- Now and then -----------------------------------------------------------------------------------
 
     def due(self, now: int) -> list[i.PoolNews]:
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from arrowrail.core import MS, Q850_CUT, Core, Front
+from arrowrail.duties.hints import SILENT
 from arrowrail.run.config import Config
 from arrowrail.run.log import event, log_to
 from arrowrail.run.main import Program
@@ -160,6 +161,11 @@
     def _tick(self) -> None:
         loop = self.program.loop
         self.core.events += self.door.due(loop.now)
+        if self.group is not None:
+            hints = self.group.instance.hints
+            silent = [line.number for line in self.compiled.lines
+                      if hints.verdict(loop.now, PROBE + line.name) == SILENT]  # fmt: skip
+            self.core.events += self.door.doubted(loop.now, silent)
         self._forget_emptied()
         self._release_orphans()
         loop.deadlines.at(loop.now + TICK_NS, self._tick)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -7,6 +7,7 @@
 import socket
 import stat
 import time
+from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
 
@@ -18,7 +19,7 @@
 from arrowrail.duties.timing import Timing
 from arrowrail.group.instance import Instance, Message, Out, Run
 from arrowrail.group.plan import GroupPlan
-from arrowrail.group.runtime import Control, read_promises
+from arrowrail.group.runtime import Control, Group, read_promises
 from arrowrail.lab.simnet import MS, Clock, Net, S
 from arrowrail.leases.batch import MOST_BYTES, Batch, pack
 from arrowrail.leases.promise import Ask, Promise, Release, Reply
@@ -169,6 +170,48 @@
     assert not os.path.exists(path)
 
 
+def test_three_on_real_sockets_run_each_duty_under_epochs_of_their_own(tmp_path: Path) -> None:
+    loop, ports = Loop(), free_udp(3)
+    members = {f"i{n}": f"127.0.0.1:{port}" for n, port in enumerate(ports)}
+    runs: list[tuple[str, Run]] = []
+    groups = []
+    for name, address in members.items():
+
+        def probe(run: Run, done: Callable[[bool], None], name: str = name) -> bool:
+            runs.append((name, run))
+            done(True)
+            return True
+
+        plan = GroupPlan("g", name, address, address, members, {}, (), KEYS, 1, S, 10_000, str(tmp_path), "",
+                         300 * MS, 100 * MS)  # fmt: skip
+        groups.append(Group(loop, plan, probe, 1))
+        groups[-1].set_duties(["a", "b", "c", "d"])
+    end = time.monotonic() + 30
+    while {run.duty for _, run in runs if run.run >= 2} != set("abcd") and time.monotonic() < end:
+        loop.deadlines.at(loop.now + 20 * MS, lambda: None)
+        loop.turn()
+        for group in groups:
+            group.background(False)
+    epochs: dict[tuple[str, int], str] = {}
+    assert {run.duty for _, run in runs} == set("abcd")
+    assert all(epochs.setdefault((run.duty, run.epoch), name) == name for name, run in runs)
+    report = groups[0].report()
+    assert len(report["members"]) == 3 and report["dropped"] == {}  # type: ignore[arg-type]
+    for group in groups:
+        group.close()
+    assert read_promises(tmp_path / "i0.promises")
+
+
+def free_udp(count: int) -> list[int]:
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
 # --- Instances together -----------------------------------------------------------------------------------
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -8,7 +8,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from arrowrail.pools.book import DRAINS, GONE, IN_USE, NO_DISTRICT, NOT_CARRIED, UNHEARD, UNREACHED, Book
+from arrowrail.pools.book import (
+    DOUBTED,
+    DRAINS,
+    GONE,
+    IN_USE,
+    NO_DISTRICT,
+    NOT_CARRIED,
+    UNHEARD,
+    UNREACHED,
+    Book,
+)
 from arrowrail.pools.health import LONGEST_OUT_NS, MISSES, Health
 from arrowrail.pools.plan import Member, Plan, PoolPlan, RoutePlan, district_of, fallback_order, route_name
 
@@ -133,6 +143,17 @@
     assert b.told([(1, "in_service")])[ROUTE].exchanges == (1, 2)
 
 
+def test_one_that_probes_found_silent_is_used_only_where_there_is_no_other() -> None:
+    b = book()
+    assert b.doubted([1])[ROUTE].exchanges == (2,) and b.state(1) == DOUBTED and b.doubted([1]) == {}
+    assert b.doubted([1, 2])[ROUTE].exchanges == (3, 4)
+    assert b.doubted([1, 2, 3, 4])[ROUTE].exchanges == (1, 2)  # all of them: the doubt is the prober's
+    b.told([(1, "terminating")])
+    assert b.allowed(ROUTE).exchanges == (2,)  # a drain stays a drain
+    b.doubted([])
+    assert b.allowed(ROUTE).exchanges == (2,)
+
+
 def test_a_reload_says_which_routes_go_elsewhere() -> None:
     b = book()
     assert b.use(plan(pool("one", 1, 2), pool("two", 3, 4))) == {}
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -27,7 +27,7 @@
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import Listing
 from arrowrail.sidecar.main import Sidecar
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Told
+from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Desk, Told
 from arrowrail.wire.desk import binary
 from arrowrail.wire.m3ua.isup import IsupType
 from tests.live import SDP, Caller, Listening, M3uaPeer, release, set_up, tell, wait_until
@@ -152,6 +152,16 @@
     assert door.enter(T0 + S, 1, offer("again"))[1] is None
 
 
+def test_an_answer_to_a_call_of_our_own_outweighs_others_probes(tmp_path: Path) -> None:
+    door = RecordsDoor(compiled(tmp_path), T0)
+    door.book.told([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
+    told = Told("f-1@127.0.0.1:6101", "127.0.0.1:6101", "z", 1, IN_SERVICE, 0)
+    door.attempt_over(T0, Desk(1, "site", told), "served", 0)
+    assert door.doubted(T0 + S, [1]) == []
+    news = door.doubted(T0 + 6 * S, [1])
+    assert {n.exchanges for n in news} == {(2,)} and len(news) == 2
+
+
 # --- Reading ----------------------------------------------------------------------------------------------
 
 
