Judge one's own health by whether anybody was heard, so that deaths are found sooner

Change: a probe that fails makes an instance more patient only where it heard nobody at all meanwhile.

--- a/arrowrail/membership/swim.py
+++ b/arrowrail/membership/swim.py
@@ -140,7 +140,7 @@
         self._probe: Probe | None = None
         self._helping: dict[int, tuple[str, int, int]] = {}  # own number: whom to tell, their number, until
         self._number = 0
-        self._last_tick = now
+        self._last_tick = self._heard_at = now
         self._next_probe = now + self.random.randrange(settings.period_ns)
         self._next_sync = now
 
@@ -299,7 +299,8 @@
         if probe.answered:
             self.health = max(0, self.health - 1)
             return
-        self._unwell()
+        if self._heard_at < probe.began:
+            self._unwell()  # nobody was heard meanwhile: the fault may be this instance's own
         member = self.members.get(probe.target)
         if member is None:
             return
@@ -350,6 +351,7 @@
     def receive(self, now: int, message: Message) -> Sends:
         if self.left:
             return []
+        self._heard_at = now
         for rumour in message.rumours:
             self._hear(now, rumour, message.sender)
         if isinstance(message, Ping):
