Check that instances of one group agree on members, names and seeds

Need: two majorities that share no voter could both grant one duty; a slip in one application's members is such a case. Change: over all applications of a folder, members and joining of one group have to be the same or one step of a change apart, names differ, seeds name somebody (AR506, AR507).

--- a/arrowrail/config/faults.py
+++ b/arrowrail/config/faults.py
@@ -204,6 +204,14 @@
         "two halves could both grant one duty",
         "list under joining all members as they will be",
     ),
+    "AR506": Code(
+        "two instances of one group that disagree",
+        "two majorities could grant one duty, or one name stand for two",
+        "make members, joining and names fit in all of them",
+    ),
+    "AR507": Code(
+        "a seed that nobody listens at", "the group is not found there", "name an instance's listen"
+    ),
     "AR401": Code(
         "a pool of a single exchange without a fall-back",
         "its drain leaves the class without a way",
--- a/arrowrail/config/folder.py
+++ b/arrowrail/config/folder.py
@@ -138,6 +138,7 @@
             checked.files[a.name] = loaded.name
             inventories.setdefault(id(v), (v, []))[1].append(a)
     rules.ports(checked.applications.values(), faults)
+    rules.groups(checked.applications.values(), faults)
     for v, applications_of in inventories.values():
         if v.whole and not only:
             rules.used_pools(applications_of, v, faults)
--- a/arrowrail/config/rules.py
+++ b/arrowrail/config/rules.py
@@ -14,7 +14,7 @@
 
 from arrowrail.config import units
 from arrowrail.config.faults import Faults, Place, shown
-from arrowrail.config.records import Application, CallClass, District, Exchange, Pool, Site
+from arrowrail.config.records import Application, CallClass, District, Exchange, Group, Pool, Site
 from arrowrail.pools.plan import fallback_order
 from arrowrail.state.address import parse_address
 
@@ -359,6 +359,34 @@
             by_port.setdefault(port, []).append((host, a, address, place))
 
 
+def groups(applications: Iterable[Application], faults: Faults) -> None:
+    """Instances of one group have to agree on who grants; while it changes, on one of the two sides."""
+    by_name: dict[str, list[tuple[Application, Group]]] = {}
+    for a in applications:
+        if a.group is not None:
+            by_name.setdefault(a.group.group, []).append((a, a.group))
+    for found in by_name.values():
+        first = found[0][1]
+        known = {host_port(g.listen) for _, g in found}
+        known |= {host_port(x) for _, g in found for x in (*g.members.values(), *g.joining.values())}
+        names: dict[str, Group] = {}
+        for a, g in found:
+            key = f"application.{a.name}.group"
+            # A step of a change: one has the new members already, which the other lists as joining.
+            step = g.members in (first.members, first.joining) or first.members == g.joining
+            if not step:
+                faults.add("AR506", g.place("members"), f"{key}.members",
+                           f"{', '.join(sorted(g.members))} here, {', '.join(sorted(first.members))} there",
+                           other=first.place("members"))  # fmt: skip
+            before = names.setdefault(g.me, g)
+            if before is not g:
+                faults.add("AR506", g.place("me"), f"{key}.me", f"two are called {shown(g.me)}",
+                           other=before.place("me"))  # fmt: skip
+            for number, seed in enumerate(g.seeds):
+                if host_port(seed) not in known:
+                    faults.add("AR507", g.place(f"seeds[{number}]"), f"{key}.seeds[{number}]", seed)
+
+
 def used_pools(applications: Iterable[Application], v: Inventory, faults: Faults) -> None:
     apps = list(applications)
     used = {
--- a/tests/records/test_check.py
+++ b/tests/records/test_check.py
@@ -11,7 +11,7 @@
 
 from arrowrail.config.faults import CODES, FAULT, WARNING
 from arrowrail.config.folder import Checked, check, check_one, faults_for
-from tests.records.corpus import CASES, GOOD, SEVERAL, Case, edited
+from tests.records.corpus import CASES, GOOD, GROUP, SEVERAL, Case, edited
 
 QUICK = settings(max_examples=60, deadline=None, derandomize=True)
 
@@ -57,7 +57,9 @@
     assert len(CASES) >= 60
     told = {c.code for c in CASES} | {w.split()[1] for *_, wanted in SEVERAL for w in wanted}
     faults = {name for name, code in CODES.items() if code.severity == FAULT}
-    assert faults - told == {"AR101", "AR104", "AR111", "AR313", "AR321", "AR324"} - told
+    assert faults - told == {
+        "AR101", "AR104", "AR111", "AR313", "AR321", "AR324", "AR506", "AR507",
+    } - told  # fmt: skip
 
 
 def test_warnings_are_no_faults(tmp_path: Path) -> None:
@@ -84,6 +86,25 @@
     assert told == ["lifts.rail:2:14 AR313", "lifts.rail:7:5 AR324", "panels.rail:2:14 AR313"]
 
 
+def test_instances_of_one_group_have_to_agree(tmp_path: Path) -> None:
+    def group(app: str, me: str, port: int, members: str, more: str = "") -> bytes:
+        text = GROUP.replace('me: "a"', f'me: "{me}"').replace('"127.0.0.1:7001"\n', f'"127.0.0.1:{port}"\n')
+        text = text.replace('{a: "127.0.0.1:7001"}', "{" + members + "}" + more)
+        return GOOD[app].replace("  attempts: 2\n", text).encode()
+
+    both = 'a: "127.0.0.1:7001", b: "127.0.0.1:7002", c: "127.0.0.1:7003"'
+    files = good() | {"lifts.rail": group("lifts.rail", "a", 7001, both)}
+    files["panels.rail"] = group("panels.rail", "b", 7002, both, '\n    seeds: ["127.0.0.1:7003"]')
+    assert said(check(folder(tmp_path, files))) == []
+    files["panels.rail"] = group("panels.rail", "b", 7002, 'b: "127.0.0.1:7002"')
+    assert said(check(folder(tmp_path, files))) == ["panels.rail:15:14 AR506"]
+    files["panels.rail"] = group("panels.rail", "a", 7001, both, '\n    seeds: ["127.0.0.1:9"]')
+    assert said(check(folder(tmp_path, files))) == ["panels.rail:13:9 AR506", "panels.rail:16:13 AR507"]
+    grown = both + ', d: "127.0.0.1:7004", e: "127.0.0.1:7005"'
+    files["panels.rail"] = group("panels.rail", "b", 7002, both, "\n    joining: {" + grown + "}")
+    assert said(check(folder(tmp_path, files))) == []
+
+
 def test_a_start_reads_its_own_application_and_no_other(tmp_path: Path) -> None:
     files = good() | {"panels.rail": b"\0", "spare.rail": b"application: odd: 5"}
     checked = check_one(folder(tmp_path, files), "lifts")
