--- a/arrowrail/leases/office.py
+++ b/arrowrail/leases/office.py
@@ -63,7 +63,7 @@
                 self.claims[duty] = claim
             else:
                 del self.claims[duty]
-        for duty in self.wanted - self.claims.keys():
+        for duty in sorted(self.wanted - self.claims.keys()):
             # Not all at once, nor in step with the others that lost the same instance.
             pause = self.random.randrange(self.terms.answer_ns)
             self.claims[duty] = Claim(duty, self.name, not_before=now + pause)
