--- a/arrowrail/sidecar/door.py
+++ b/arrowrail/sidecar/door.py
@@ -10,10 +10,11 @@
 from arrowrail.pools.book import Allowed, Book
 from arrowrail.sidecar.compile import Compiled
 from arrowrail.sidecar.listing import SOURCE, Listing
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk, Told
+from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Desk, Told
 from trackhatch import interface as i
 
 NO_NEWS = ("not_sent", "no_answer", "called_off")  # outcomes that prove nothing of the way to an exchange
+BY_USE = (IN_SERVICE, TERMINATING, TERMINATED)  # of several machines of an exchange, the first counts
 PROOF_NS = 5_000_000_000  # how long an answer to a call of ours outweighs what probes say
 NO_WAY = Answer(REFUSED, outcome=NO_ROUTE)
 
@@ -80,7 +81,7 @@
         states = []
         for exchange in sorted(changed):
             known = set(self._offices[exchange].values())
-            states.append((exchange, IN_SERVICE if IN_SERVICE in known else min(known, key=len)))
+            states.append((exchange, next(s for s in BY_USE if s in known)))
         return _news(self.book.told(states))
 
     def attempt_over(self, now: int, desk: Desk, outcome: str, cause: int) -> list[i.PoolNews]:
