Log state transitions with ids, count why requests are closed, retried or refused

Need: the incident's evidence says nothing of silent connections, of calls that stand at a server that is given up, or of why a set-up was refused. Change: arrowrail/telemetry with structured events (moved from run/log) and counters. Calls are logged at DEBUG with their id at each transition; servers and discovery at INFO; all counters in one line every 10 s and at the end. Labels come from the code, connection faults by errno name, so that the table is bounded. Counters go to the log, not to a port: the platform lets a controller listen on its own address only.

--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -16,6 +16,8 @@
 from arrowrail.state.deadlines import Deadline, Deadlines
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk, Directory, Told
 from arrowrail.state.slots import SlotTable
+from arrowrail.telemetry.events import call_event, event, some_ids
+from arrowrail.telemetry.metrics import Metrics
 from trackhatch import Controller
 from trackhatch import interface as i
 
@@ -153,6 +155,7 @@
         self.turned_away: list[tuple[Request, Answer]] = []  # by the door, to be answered this turn
         self.unanswered = 0  # requests that are still owed their final answer
         self.defects = 0  # checks that fired: each is a defect of ours to find
+        self.metrics = Metrics()
 
     @property
     def now(self) -> int:
@@ -168,6 +171,9 @@
         request.handle = self.requests.add(request)
         self.by_call[offer.call] = request.handle
         self.unanswered += 1
+        self.metrics.count("request.taken", offer.class_name)
+        call_event("request.taken", offer.call, "taken, class {kind}, answer due in {due_ms} ms",
+                   kind=offer.class_name, due_ms=(offer.deadline_ns - self.now) // MS)  # fmt: skip
         handle = request.handle
         if self.door is not None:
             request.taken_ns = self.now
@@ -199,6 +205,8 @@
         if request is None or request.stands:
             return False
         self.events.append(i.CallerGone(call))
+        self.metrics.count("request.caller_gone")
+        call_event("request.caller_gone", call, "its caller no longer waits")
         attempt = request.out
         if attempt is not None:
             self._back(attempt.desk).give_up(attempt.desk, call)
@@ -215,8 +223,7 @@
         if not request.stands:
             return self.caller_gone(call)
         self._back(attempt.desk).release(attempt.desk, call, Q850_NORMAL)
-        self._attempt_over(request, attempt, "called_off", 0, True)
-        self._forget(request)
+        self._call_over(request, attempt, "called_off", "caller")
         return True
 
     # --- From the backs ---------------------------------------------------------------------------------
@@ -228,6 +235,9 @@
             return  # nobody's: it came with another call's answer
         if request is None or attempt is None or attempt.desk is not desk:
             # A crossed answer: its call was cancelled, timed out or went elsewhere, and must not stand here.
+            self.metrics.count("answer.crossed")
+            call_event("answer.crossed", call, "an answer of {server} that came too late is released",
+                       server=desk.told.uid)  # fmt: skip
             self._back(desk).release(desk, call, Q850_NORMAL)
             return
         if request.stands:
@@ -238,6 +248,9 @@
         if self.door is not None:
             self.events += self.door.attempt_over(self.now, desk, "served", 0)
         self._cancel(request, attempt)
+        self.metrics.count("request.stands")
+        call_event("request.stands", call, "stands at {server} after attempt {attempt}",
+                   server=desk.told.uid, attempt=attempt.number)  # fmt: skip
         self.events.append(i.CallStands(call, desk.office, attempt.number, self.now - attempt.sent_ns))
         request.front.answer(request, Answer(STANDS, description))
 
@@ -247,6 +260,9 @@
         if request is None:
             if call not in self.ended:
                 # From before our restart: the caller still holds the call and has to hear of its end.
+                self.metrics.count("release.unknown_call")
+                call_event("release.unknown_call", call, "over at {server}, not known here; told to callers",
+                           server=desk.told.uid)  # fmt: skip
                 self.ended[call] = self.now + ENDED_KEPT_NS
                 for front in self.fronts:
                     front.release_unknown(call, cause)
@@ -255,9 +271,8 @@
         if attempt is None or attempt.desk is not desk:
             return  # late news of an attempt that was given up
         if request.stands:
-            self._attempt_over(request, attempt, ended.stood, 0, True)
             request.front.release(request, cause)
-            self._forget(request)
+            self._call_over(request, attempt, ended.stood, "server")
         else:
             self._attempt_over(request, attempt, ended.outcome, ended.cause, False)
 
@@ -273,16 +288,22 @@
 
         With ``before_ns``, only what was sent before that time.
         """
+        cut: list[str] = []
         for request in self.requests:
             attempt = request.out
             if attempt is None or attempt.desk is not desk or 0 < before_ns <= attempt.sent_ns:
                 continue
             if before_ns:  # the exchange goes on: its back has to let go of what the call held there
                 self._back(desk).release(desk, request.offer.call, Q850_CUT)
-            self._attempt_over(request, attempt, "connection_lost", 0, request.stands)
             if request.stands:
+                cut.append(request.offer.call)
                 request.front.release(request, Q850_CUT)
-                self._forget(request)
+                self._call_over(request, attempt, "connection_lost", "server_gone")
+            else:
+                self._attempt_over(request, attempt, "connection_lost", 0, False)
+        if cut:
+            event("server.calls_cut", "{calls} calls that stood at {server} are over: {ids}", calls=len(cut),
+                  server=desk.told.uid, ids=some_ids(cut))  # fmt: skip
 
     def release_all(self, front: Front, cause: int) -> int:
         """Calls that stand for a front whose callers have gone for good: released toward the exchanges."""
@@ -291,8 +312,7 @@
             attempt = request.out
             if request.front is front and request.stands and attempt is not None:
                 self._back(attempt.desk).release(attempt.desk, request.offer.call, cause)
-                self._attempt_over(request, attempt, "called_off", 0, True)
-                self._forget(request)
+                self._call_over(request, attempt, "called_off", "orphaned")
                 released += 1
         return released
 
@@ -310,6 +330,10 @@
         changed = self.directory.apply(self.now, source, whole, usable)
         if not changed:
             return
+        for desk in changed:
+            self.metrics.count("server.listed", desk.told.state)
+            event("server.listed", "{source} says that {server} at {endpoint} is {state}", source=source,
+                  server=desk.told.uid, endpoint=desk.told.endpoint, state=desk.told.state)  # fmt: skip
         entries = tuple(
             i.ListEntry(d.office, d.told.zone, d.told.exchange, d.told.state, d.told.since_ns)
             for d in changed
@@ -390,6 +414,7 @@
         why = self._breaks_a_rule(request, desk)
         if why or request is None or desk is None:
             self.defects += 1
+            self.metrics.count("check.fired", why)
             logger.error("set-up of call {} to office {} kept back: {}", call, office, why)
             number = request.attempts if request is not None else 0
             if request is not None:
@@ -406,6 +431,9 @@
             until = self.now + time_out
             handle = request.handle
             attempt.timer = self.deadlines.at(until, lambda: self._timed_out(handle, attempt))
+        self.metrics.count("attempt.sent" if attempt.number == 0 else "attempt.retried")
+        call_event("attempt.sent", call, "attempt {attempt} to {server}",
+                   attempt=attempt.number, server=desk.told.uid)  # fmt: skip
         self._back(desk).set_up(desk, request.offer, until - self.now)
 
     def _breaks_a_rule(self, request: Request | None, desk: Desk | None) -> str:
@@ -469,6 +497,9 @@
         if request.out is not None:
             self._give_up(request, request.out, "called_off")
         outcome, cause = request.last
+        self.metrics.count(f"request.{kind}", outcome)
+        call_event("request.answered", call, "{kind} after {attempts} attempts, the last one: {outcome}",
+                   kind=kind, attempts=request.attempts, outcome=outcome or "none")  # fmt: skip
         self._forget(request)
         request.front.answer(request, Answer(kind, b"", stay_away, outcome, cause))
 
@@ -477,6 +508,9 @@
     ) -> None:
         request.out = None
         request.last = (outcome, cause)
+        self.metrics.count("attempt.ended", outcome)
+        call_event("attempt.ended", request.offer.call, "attempt {attempt} at {server}: {outcome}",
+                   attempt=attempt.number, server=attempt.desk.told.uid, outcome=outcome)  # fmt: skip
         if attempt.timer is not None:
             attempt.timer.cancel()
         if outcome in PAUSED_AFTER:
@@ -490,6 +524,14 @@
             )
         )  # fmt: skip
 
+    def _call_over(self, request: Request, attempt: Attempt, outcome: str, ended_by: str) -> None:
+        """A call that stood is over; ``ended_by`` says who ended it, for the counters."""
+        self.metrics.count("call.over", ended_by)
+        call_event("call.over", request.offer.call, "over at {server}, ended by {ended_by}",
+                   server=attempt.desk.told.uid, ended_by=ended_by)  # fmt: skip
+        self._attempt_over(request, attempt, outcome, 0, True)
+        self._forget(request)
+
     def _cancel(self, request: Request, attempt: Attempt) -> None:
         for timer in (request.timer, attempt.timer):
             if timer is not None:
--- a/arrowrail/run/log.py
+++ b/arrowrail/run/log.py
@@ -1,4 +1,4 @@
-"""Logs on standard error: a line of text, or one JSON object, for each event.  Nothing is logged per call."""
+"""Where logs go: standard error, as lines of text or one JSON object for each event."""
 
 from __future__ import annotations
 
@@ -34,8 +34,3 @@
         line["exception"] = repr(record["exception"].value)
     sys.stderr.buffer.write(orjson.dumps(line, default=str) + b"\n")
     sys.stderr.buffer.flush()
-
-
-def event(name: str, text: str, level: str = "INFO", **fields: Any) -> None:
-    """Log an event under a stable name; its fields stand in the text and, in JSON, beside it."""
-    logger.opt(depth=1).bind(event=name, **fields).log(level, text, **fields)
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -28,6 +28,7 @@
 # After SIGTERM connections come for up to 0.4 s more, and requests on them for 0.2 s after that.
 STILL_COMING_NS = 700 * MS
 MOST_LINKS, LINK_SHARE = 4, 64  # of 256 descriptors, nine desk exchanges get 36
+METRICS_NS = 10_000 * MS  # between two lines of counters in the log
 FLUSH_NS = 500 * MS  # for answers that are not written to their end
 
 
@@ -53,10 +54,15 @@
 
             self.extras = Extras(self.loop, self.core, self.config, self.operator)
         self.core.turn()
+        self.loop.deadlines.at(self.loop.now + METRICS_NS, self._report_metrics)
         if self.config.listen:
             self.front.start()
             logger.info("{} serves on {}", self.config.name, self.config.listen)
 
+    def _report_metrics(self) -> None:
+        self.core.metrics.report()
+        self.loop.deadlines.at(self.loop.now + METRICS_NS, self._report_metrics)
+
     def stop(self, number: int) -> None:
         """Told to stop: go on serving until nothing new can come and all that was taken is answered."""
         if not self.stopping_at:
@@ -96,6 +102,7 @@
         self.start()
         while not self.done():
             self.turn()
+        self.core.metrics.report()
         logger.info("stopped; {} checks fired", self.core.defects)
 
 
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -12,7 +12,7 @@
 from arrowrail.core import MS, Q850_CUT, Core, Front
 from arrowrail.duties.hints import SILENT
 from arrowrail.run.config import Config
-from arrowrail.run.log import event, log_to
+from arrowrail.run.log import log_to
 from arrowrail.run.main import Program
 from arrowrail.run.reading import Reading, read_now
 from arrowrail.run.result import Result
@@ -20,6 +20,7 @@
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
 from arrowrail.state.directory import IN_SERVICE
+from arrowrail.telemetry.events import event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/arrowrail/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What a running process tells its operators: structured log events and counters."""
--- a/arrowrail/wire/bus/client.py
+++ b/arrowrail/wire/bus/client.py
@@ -9,6 +9,8 @@
 from arrowrail.core import MS, Core
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
+from arrowrail.telemetry.events import event as log_event
+from arrowrail.telemetry.events import reason_of
 from arrowrail.wire.bus.messages import BusError, BusEvent, StreamParser, get
 from arrowrail.wire.stream import Stream, connect
 
@@ -29,6 +31,7 @@
         self.silence: Deadline | None = None
         self.again: Deadline | None = None
         self.asked_again_for = -1  # the gap that was asked for once already
+        self._following = False  # whether the log says that the stream is being read
 
     def start(self, known: list[BusEvent], offset: int) -> None:
         """What the configuration holds comes first; the stream goes on from there."""
@@ -68,6 +71,10 @@
 
     def received(self, data: bytes) -> None:
         self._heard()
+        if not self._following:
+            self._following = True
+            log_event("discovery.connected", "event bus at {address} is read from event {last} on",
+                  address=self.address, last=self.last)  # fmt: skip
         try:
             events = self.parser.feed(data)
         except BusError as wrong:
@@ -92,6 +99,7 @@
         if event.offset <= self.last:
             return  # held already
         self.last = event.offset
+        self.core.metrics.count("discovery.events")
         self.core.list_news(SOURCE, event.whole, event.lines)
 
     def _heard(self, next_within_ns: int = 0) -> None:
@@ -106,8 +114,14 @@
         if self.stream is not None:
             self.stream.fail(why)
 
-    def lost(self, _why: OSError | None) -> None:
+    def lost(self, why: OSError | None) -> None:
         self.stream = None
+        reason = reason_of(why)
+        self.core.metrics.count("discovery.lost", reason)
+        if self._following:
+            self._following = False
+            log_event("discovery.lost", "event bus at {address} is out of reach: {reason}", level="WARNING",
+                  address=self.address, reason=reason)  # fmt: skip
         if self.silence is not None:
             self.silence.cancel()
         self._later()
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -12,6 +12,7 @@
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
+from arrowrail.telemetry.events import event, reason_of
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
 from arrowrail.wire.reconnect import Reconnect
@@ -94,6 +95,7 @@
         stream, self.stream = self.stream, None
         self.unfinished.cancel()
         waiting, self.waiting = self.waiting, {}
+        self._log_loss(stream is not None and not stream.connecting, why, len(waiting))
         if stream is not None:
             # Guards against a call that its caller ended standing on beyond a broken connection.
             self.group.owe(*stream.left(OWED))
@@ -108,6 +110,12 @@
         if gone:
             self.group.back.core.desk_gone(self.desk)
 
+    def _log_loss(self, was_up: bool, why: OSError | None, waiting: int) -> None:
+        name = "server.connection_lost" if was_up else "server.connect_failed"
+        self.group.back.core.metrics.count(name, reason_of(why))
+        event(name, "{server}: {reason}, {waiting} unanswered set-ups on the connection", level="DEBUG",
+              server=self.desk.told.uid, reason=reason_of(why), waiting=waiting)  # fmt: skip
+
     def set_up(self, call: str, data: bytes) -> None:
         self.waiting[call] = data
         self.open()
--- a/arrowrail/wire/sip/front.py
+++ b/arrowrail/wire/sip/front.py
@@ -9,6 +9,7 @@
 from arrowrail.core import FAILED, MS, NO_ROUTE, REFUSED, STANDS, Answer, Core, Offer, Request
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
+from arrowrail.telemetry.events import call_event, event, some_ids
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.sip import messages as sip
 from arrowrail.wire.stream import Stream
@@ -96,6 +97,7 @@
 class Releasing:
     """A release on its way; ``line`` 0: no connection has taken it yet."""
 
+    call: str
     message: bytes
     since: int
     until: int
@@ -187,11 +189,22 @@
             idle = not caller.open_calls and now - caller.idle_since > IDLE_NS
             if idle and not caller.stream.unread:
                 self._close(caller)
-        self.releasing = {call: r for call, r in self.releasing.items() if r.until > now}
+        self._give_up_releases(now)
         if self.listener is not None:
             self.listener.resume()
         self.loop.deadlines.at(now + SWEEP_NS, self._sweep)
 
+    def _give_up_releases(self, now: int) -> None:
+        """Forget the releases that found no connection for too long, and those that had time to arrive."""
+        unheard = [
+            call for call, release in self.releasing.items() if release.until <= now and not release.line
+        ]
+        if unheard:
+            self.core.metrics.count("release.undelivered", amount=len(unheard))
+            event("release.undelivered", "{calls} releases found no caller to go to: {ids}", level="WARNING",
+                  calls=len(unheard), ids=some_ids(unheard))  # fmt: skip
+        self.releasing = {call: r for call, r in self.releasing.items() if r.until > now}
+
     def gone(self, caller: Caller) -> None:
         if self.callers.remove(caller.handle) is None:
             return
@@ -330,7 +343,7 @@
         """No connection owns a call that stands: any will do, and else the next that opens."""
         data = sip.request("BYE", uri, self.address, call, 1, (("Reason", f"Q.850;cause={cause}"),))
         now = self.loop.now
-        release = self.releasing[call] = Releasing(data, now, now + RELEASE_KEPT_NS)
+        release = self.releasing[call] = Releasing(call, data, now, now + RELEASE_KEPT_NS)
         if caller is not None and caller.stream.open:
             self._hand_over(release, caller)
         else:
@@ -340,6 +353,8 @@
         release.line, release.trust = caller.handle, caller.trust
         if caller.stood:
             release.until = min(release.until, self.loop.now + CROSSING_NS)
+        call_event("release.sent", release.call, "release written to connection {connection}",
+                   connection=caller.serial)  # fmt: skip
         caller.stream.send(release.message)
 
     def _deliver(self) -> None:
