--- /dev/null
+++ b/arrowrail/lab/platform.py
@@ -0,0 +1,129 @@
+"""The platform's side of a controller's start, as the operators' pages give it: settings, list, file.
+
+Used by tests and drills that start the program as a process of its own.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from arrowrail.core import MS
+
+IN_SERVICE = "in_service"
+
+
+@dataclass(frozen=True, slots=True)
+class CallClassPlan:
+    """One class of call in the settings; times in ms."""
+
+    name: str
+    deadline_ms: int = 3000
+    aim_ms: int = 1000
+    hold_ms: int = 4000
+    worth: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One line of the list of servers."""
+
+    uid: str
+    address: str  # host:port
+    exchange: int  # the number that calls name as their destination
+    zone: str = "east"
+    state: str = IN_SERVICE
+    started_ms: int = 0  # Unix time of a late start; 0: long ago
+
+    def line(self) -> dict[str, Any]:
+        """As it stands in an event of discovery."""
+        return {
+            "uid": self.uid, "endpoint": self.address, "az": self.zone, "model": "std",
+            "pod_group": self.exchange, "state": self.state, "capacity_hint": 1, "boot_ms": self.started_ms,
+        }  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What the settings of all controllers of a deployment share; times in ms."""
+
+    classes: tuple[CallClassPlan, ...] = (CallClassPlan("voice"),)
+    controllers: int = 1
+    drain_grace_ms: int = 500
+    pause_ms: int = 300
+    cold_ms: int = 8000
+    fall_ms: int = 3000
+    fall_multiple: float = 4.0
+    start_capacity: float = 0.35
+    connect_timeout_ms: int = 500
+    max_attempts: int = 4
+    sockets: int = 256
+    servers: tuple[Server, ...] = field(default=())
+
+    @property
+    def longest_deadline_ms(self) -> int:
+        return max(c.deadline_ms for c in self.classes)
+
+    def settings(self, rank: int = 0) -> dict[str, Any]:
+        """The object that the pages call 'the settings', for one controller."""
+        return {
+            "classes": [
+                {"name": c.name, "worth": c.worth, "late-share": 0.25, "objective-ns": c.aim_ms * MS,
+                 "deadline-ns": c.deadline_ms * MS, "repeat": "free", "dedup-scope": "all",
+                 "window-ns": 0, "streamed": True}
+                for c in self.classes
+            ],
+            "clients": {"marks-retry": True},
+            "contract": {
+                "answer-slack-ns": 20 * MS, "cold-ns": self.cold_ms * MS,
+                "drain-grace-ns": self.drain_grace_ms * MS, "fall-multiple": self.fall_multiple,
+                "fall-ns": self.fall_ms * MS, "must-ask-in-ns": 10_000 * MS,
+                "start-capacity": self.start_capacity,
+            },
+            "discovery": "push",
+            "family-info": {
+                "class-hold-ns": [c.hold_ms * MS for c in self.classes], "layout": "meshed",
+                "pools-by-class": [], "release-ns": self.pause_ms * MS, "resend-ns": 400 * MS,
+                "self-no": 0, "widths": [1 for _ in self.classes],
+            },
+            "instances": self.controllers,
+            "rank": rank,
+            "policy-limits": {
+                "connect-timeout-ns": self.connect_timeout_ms * MS, "max-attempts": self.max_attempts,
+                "may-cancel": True, "may-probe": False, "retry-after": True,
+                "max-retry-after-ns": 2_000 * MS,
+            },
+            "report": {"fields": ["spare", "total"]},
+            "zone": "east",
+        }  # fmt: skip
+
+
+def discovery_event(offset: int, servers: list[Server], whole: bool) -> dict[str, Any]:
+    """One numbered event of discovery."""
+    lines = [server.line() for server in servers]
+    return {"offset": offset, "topology": {"rev": offset, "all": whole, "targets": lines}}
+
+
+def configuration(
+    deployment: Deployment, name: str, listen: str, discovery: str, rank: int = 0, offset: int = 1
+) -> dict[str, Any]:
+    """The configuration file of one controller; ``known`` holds the whole list as event ``offset``."""
+    known = discovery_event(offset, list(deployment.servers), True)
+    return {
+        "name": name, "listen": listen, "seed": f"{rank + 1:016x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": deployment.sockets},
+        "bus": discovery, "known": {"offset": offset, "batch": [known]},
+        "settings": deployment.settings(rank),
+    }  # fmt: skip
+
+
+def write_configuration(path: Path, value: dict[str, Any]) -> dict[str, str]:
+    """Put the file in place whole; returns the environment of the program that is to read it."""
+    temporary = path.with_suffix(".new")
+    temporary.write_bytes(orjson.dumps(value))
+    os.replace(temporary, path)
+    return {"PROXY_NAME": value["name"], "PROXY_LISTEN": value["listen"], "PROXY_CONFIG": str(path)}
--- a/arrowrail/lab/processes.py
+++ b/arrowrail/lab/processes.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from types import TracebackType
 
@@ -46,12 +46,17 @@
         self.folder = folder
         self.running: dict[str, subprocess.Popen[bytes]] = {}
 
-    def start(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
-        environment = dict(os.environ, PYTHONPATH=str(ROOT), PYTHONDONTWRITEBYTECODE="1")
+    def start(
+        self, name: str, *arguments: str, environment: Mapping[str, str] | None = None
+    ) -> subprocess.Popen[bytes]:
+        """Start ``python -m ARGUMENTS``; its output goes to ``NAME.log`` in the folder of the drill."""
+        variables = dict(os.environ, PYTHONPATH=str(ROOT), PYTHONDONTWRITEBYTECODE="1") | dict(
+            environment or {}
+        )
         with open(self.folder / f"{name}.log", "ab") as log:
             child = subprocess.Popen(
                 [sys.executable, "-m", *arguments], stdin=subprocess.PIPE, stdout=log, stderr=log,
-                env=environment, cwd=self.folder,
+                env=variables, cwd=self.folder,
             )  # fmt: skip
         self.running[name] = child
         return child
