Release calls whose server vanished within 8 s, whether or not discovery says so

Cause: the program learned of the end of a silent server from discovery alone, or from connections refused for 2 s (Reconnect.failed, Core.desk_gone). A machine that vanished refuses nothing: its connections stay open and silent and new ones never come up, so calls stood until the list said so. Class: the end of a state known from one party only, which may itself be silent. Change: failure_detection.endpoint judges from contacts alone. While calls stand and a server says nothing for 1 s, one more connection is tried; two in a row that never come up are an interruption, and 7.2 s after the last contact the calls of before are released, unless bytes on a connection of before, or news of a call of before, show that it is the same process. Checked related paths with the same fault: a new process at the address of a vanished one, a process that dies and is back before 2 s of refusals, the M3UA-style back (a silent peer was found after 10 s by its heartbeat, then never given up). The two ways to cut calls are one, and the server is told as well, for where it is only out of reach.

--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -156,6 +157,7 @@
         self.unanswered = 0  # requests that are still owed their final answer
         self.defects = 0  # checks that fired: each is a defect of ours to find
         self.metrics = Metrics()
+        self.standing: Counter[int] = Counter()  # calls that stand, by server
 
     @property
     def now(self) -> int:
@@ -243,6 +245,7 @@
         if request.stands:
             return  # told twice
         request.stands = True
+        self.standing[desk.office] += 1
         self.unanswered -= 1
         self._settled(request)
         if self.door is not None:
@@ -283,27 +286,28 @@
         if request is not None and attempt is not None and attempt.desk is desk:
             self._attempt_over(request, attempt, outcome, cause, False)
 
-    def desk_gone(self, desk: Desk, before_ns: int = 0) -> None:
-        """Nothing runs there any more: what stood is cut, what was out is lost.
+    def server_lost(self, desk: Desk, reason: str, before_ns: int = 0) -> None:
+        """The server is not there any more: what stood is over, what was out is lost.
 
-        With ``before_ns``, only what was sent before that time.
+        With ``before_ns``, only what was sent before that time.  The server is told as well, for where it is
+        only out of reach it must not hold on to what is over here.
         """
         cut: list[str] = []
         for request in self.requests:
             attempt = request.out
             if attempt is None or attempt.desk is not desk or 0 < before_ns <= attempt.sent_ns:
                 continue
-            if before_ns:  # the exchange goes on: its back has to let go of what the call held there
-                self._back(desk).release(desk, request.offer.call, Q850_CUT)
             if request.stands:
                 cut.append(request.offer.call)
+                self._back(desk).release(desk, request.offer.call, Q850_CUT)
                 request.front.release(request, Q850_CUT)
-                self._call_over(request, attempt, "connection_lost", "server_gone")
+                self._call_over(request, attempt, "connection_lost", reason)
             else:
-                self._attempt_over(request, attempt, "connection_lost", 0, False)
-        if cut:
-            event("server.calls_cut", "{calls} calls that stood at {server} are over: {ids}", calls=len(cut),
-                  server=desk.told.uid, ids=some_ids(cut))  # fmt: skip
+                self._give_up(request, attempt, "connection_lost")
+        self.metrics.count("server.lost", reason)
+        event("server.lost", "{server} is lost ({reason}); {calls} calls that stood there are over: {ids}",
+              level="WARNING" if cut else "INFO", server=desk.told.uid, reason=reason, calls=len(cut),
+              ids=some_ids(cut))  # fmt: skip
 
     def release_all(self, front: Front, cause: int) -> int:
         """Calls that stand for a front whose callers have gone for good: released toward the exchanges."""
@@ -316,8 +320,10 @@
                 released += 1
         return released
 
-    def standing_at(self, desk: Desk) -> bool:
-        return any(r.stands and r.out is not None and r.out.desk is desk for r in self.requests)
+    def set_up_at(self, call: str) -> int:
+        """When the attempt of a call that is out, or stands, was sent; 0 where there is none."""
+        request = self.find(call)
+        return request.out.sent_ns if request is not None and request.out is not None else 0
 
     def group_state(self, desk: Desk, free: float, size: float) -> None:
         self.events.append(i.GroupReport(desk.office, "served", 0, i.Report(free, size, ())))
@@ -347,11 +353,11 @@
                 continue  # nothing is ever sent to the own exchange
             self._back(desk).changed(desk)
             if desk.told.state == TERMINATED:
-                self.desk_gone(desk)
+                self.server_lost(desk, "removed")
             elif 0 < desk.told.since_ns <= self.now:
                 # Guards against calls left standing for good on a process that was started anew under the
                 # same uid: it knows nothing of what was sent to the one before it.
-                self.desk_gone(desk, desk.told.since_ns)
+                self.server_lost(desk, "started_anew", desk.told.since_ns)
 
     # --- The turn ---------------------------------------------------------------------------------------
 
@@ -526,6 +532,9 @@
 
     def _call_over(self, request: Request, attempt: Attempt, outcome: str, ended_by: str) -> None:
         """A call that stood is over; ``ended_by`` says who ended it, for the counters."""
+        self.standing[attempt.desk.office] -= 1
+        if not self.standing[attempt.desk.office]:
+            del self.standing[attempt.desk.office]
         self.metrics.count("call.over", ended_by)
         call_event("call.over", request.offer.call, "over at {server}, ended by {ended_by}",
                    server=attempt.desk.told.uid, ended_by=ended_by)  # fmt: skip
--- /dev/null
+++ b/arrowrail/failure_detection/endpoint.py
@@ -0,0 +1,127 @@
+"""Judges, from contacts alone, whether the server behind an endpoint still holds the calls that stand there.
+
+A server that vanishes says nothing: its connections stay open and silent, and new ones never come up.
+Discovery may say so late, or be down itself.  The callers have to hear of the end of their calls within 8 s
+all the same (PROTOCOL, "The rules on sockets"), and calls that go on must not be cut.
+
+What counts as proof, strongest first:
+
+- News of a call, or bytes on a connection, from before an interruption: it is the same process, and its calls
+stand.
+- A connection that comes up: something is there.  After an interruption it may be a new process at the same
+  address, which knows nothing of the calls of before.
+- A connection that never comes up, twice in a row, or is refused while none is up: an interruption.  Once is
+not
+  enough, since single connections get lost on the way to servers that are well.
+
+All times are Unix times in ns.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MS = 1_000_000
+TELL_LIMIT_NS = 8_000 * MS  # PROTOCOL: when no release could be sent, from the end of a call
+TELL_RESERVE_NS = 800 * MS  # to notice, and to get the release out to the caller
+SILENCE_LIMIT_NS = TELL_LIMIT_NS - TELL_RESERVE_NS
+# With calls standing, how long a server may say nothing before a connection is tried.  The shorter, the
+# fresher is the last proof when a server vanishes, and the longer an outage that its calls outlive: 6 s at
+# this figure.
+CHECK_AFTER_NS = 1_000 * MS
+CHECK_TIMEOUT_NS = 1_100 * MS  # STANDING: connections to servers may come up late, up to 1 s
+FAILED_CHECKS = 2  # in a row, until an interruption is believed
+REFUSED_LIMIT_NS = 2_000 * MS  # a process that only restarts its listener keeps its calls
+
+UNREACHABLE, RESTARTED, REFUSED = "unreachable", "not_the_same_process", "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """Calls at an endpoint are over, since their server is not there any more."""
+
+    reason: str
+    before_ns: int  # those set up before that time; 0: all
+
+
+class EndpointMonitor:
+    """Keeps the contacts with one endpoint and says when its calls have to be given up.
+
+    ``resets_on_restart``: the protocol makes a server that has started anew say so of each circuit, as ISUP
+    does, so that a connection that comes up ends an interruption by itself.
+    """
+
+    __slots__ = ("_contact_ns", "_failed_checks", "_interrupted_ns", "_refused_ns", "_resets", "_returned_ns")
+
+    def __init__(self, now: int, resets_on_restart: bool = False) -> None:
+        self._contact_ns = now
+        self._failed_checks = 0
+        self._interrupted_ns = 0  # the last contact before the interruption; 0: there is none
+        self._returned_ns = 0  # when something came up again after it; 0: nothing did
+        self._refused_ns = 0  # since when connections are refused; 0: they are not
+        self._resets = resets_on_restart
+
+    @property
+    def interrupted(self) -> bool:
+        """Whether calls of before are in doubt."""
+        return self._interrupted_ns > 0
+
+    def heard(self, now: int, opened_ns: int) -> None:
+        """Bytes came on a connection that was opened at that time."""
+        self._contact(now)
+        if opened_ns <= self._interrupted_ns:
+            self._interrupted_ns = 0
+
+    def heard_of_call(self, now: int, set_up_ns: int) -> None:
+        """The server answered or released a call that was set up at that time."""
+        self._contact(now)
+        if not self._returned_ns or set_up_ns < self._returned_ns:
+            self._interrupted_ns = 0
+
+    def connected(self, now: int) -> None:
+        """A connection came up."""
+        self._contact(now)
+        if self._resets:
+            self._interrupted_ns = 0
+        elif self._interrupted_ns and not self._returned_ns:
+            self._returned_ns = now
+
+    def check_failed(self, now: int) -> None:
+        """A connection did not come up in time."""
+        self._failed_checks += 1
+        if self._failed_checks >= FAILED_CHECKS:
+            self._interrupt()
+
+    def full(self, now: int) -> None:
+        """A connection was refused while others are up: the server holds as many as it accepts."""
+        self._contact(now)
+
+    def refused(self, now: int) -> None:
+        """A connection was refused while no other was up: nobody listens there."""
+        self._refused_ns = self._refused_ns or now
+        self._interrupt()
+
+    def check_due(self, now: int) -> bool:
+        """Whether a connection should be tried, where calls stand."""
+        return now - self._contact_ns >= CHECK_AFTER_NS
+
+    def loss(self, now: int) -> Loss | None:
+        """The calls to give up now, told once for each interruption."""
+        if self._refused_ns and now - self._refused_ns > REFUSED_LIMIT_NS:
+            self._refused_ns = now  # not again at once, while it stays so
+            self._interrupted_ns = 0
+            return Loss(REFUSED, 0)
+        if not self._interrupted_ns or now - self._interrupted_ns < SILENCE_LIMIT_NS:
+            return None
+        self._interrupted_ns = 0
+        return Loss(RESTARTED if self._returned_ns else UNREACHABLE, self._returned_ns)
+
+    def _contact(self, now: int) -> None:
+        self._contact_ns = now
+        self._failed_checks = 0
+        self._refused_ns = 0
+
+    def _interrupt(self) -> None:
+        if not self._interrupted_ns:
+            self._interrupted_ns = self._contact_ns
+        self._returned_ns = 0  # what came up meanwhile is out of reach again
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from arrowrail.core import LINK_BROKE, MS, Q850_NORMAL, Core, Ended, Offer
+from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, EndpointMonitor
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
@@ -22,6 +23,8 @@
 OWED = "release"  # names releases among the messages of a connection; no call's id looks like it
 OWED_KEPT = 200  # and of the set-ups given up lately
 PROBE_CALLS = 0xF0BE << 48  # the ids of tests lie above it
+SWEEP_NS = 250 * MS  # between two looks for servers that have fallen silent
+CHECK_KEPT_NS = 1_000 * MS  # a server may send releases that it still owes on the next connection that opens
 UNFINISHED_NS = 500 * MS  # a message has 16 KiB at most: the rest of one is there within two round trips
 # Release causes of an unanswered set-up, as outcomes of the module.
 OUTCOMES = {34: "turned_away", 17: "server_error", 47: "server_error", 102: "not_sent", 41: "connection_lost"}
@@ -40,9 +43,10 @@
 class Link:
     """One connection to a desk exchange, and the set-ups on it that are unanswered."""
 
-    __slots__ = ("desk", "group", "parser", "retry", "stream", "unfinished", "waiting")
+    __slots__ = ("desk", "group", "opened_ns", "parser", "retry", "stream", "unfinished", "waiting")
 
     def __init__(self, group: Links) -> None:
+        self.opened_ns = 0  # when the present connection came up
         self.group, self.desk = group, group.desk
         self.stream: Stream | None = None
         self.parser = binary.BinaryParser()
@@ -69,10 +73,13 @@
         self.retry.within(self.group.back.connect_timeout_ns, self.stream)
 
     def connected(self) -> None:
+        self.opened_ns = self.group.back.loop.now
+        self.group.monitor.connected(self.opened_ns)
         self.retry.succeeded()
         self.group.pay(self)
 
     def received(self, data: bytes) -> None:
+        self.group.monitor.heard(self.group.back.loop.now, self.opened_ns)
         try:
             found = self.parser.feed(data)
             for message in found:
@@ -99,16 +106,13 @@
         if stream is not None:
             # Guards against a call that its caller ended standing on beyond a broken connection.
             self.group.owe(*stream.left(OWED))
-        refused = why is not None and why.errno == errno.ECONNREFUSED
-        # A processor that refuses one more connection while others of ours are up has not died.
-        refused = refused and not any(link.up for link in self.group.links)
-        gone = self.desk.told.state != TERMINATED and self.retry.failed(refused)
+        if self.desk.told.state != TERMINATED:
+            self.retry.failed()
+            self.group.connection_failed(why)
         never_up = stream is None or stream.connecting
         for call, data in waiting.items():
             never_left = stream is None or never_up or stream.unsent(call)
             self.group.interrupted(call, data, never_up, never_left)
-        if gone:
-            self.group.back.core.desk_gone(self.desk)
 
     def _log_loss(self, was_up: bool, why: OSError | None, waiting: int) -> None:
         name = "server.connection_lost" if was_up else "server.connect_failed"
@@ -130,6 +134,40 @@
             stream.close()
 
 
+class ReachabilityCheck(Link):
+    """One more connection, tried while calls stand and the server says nothing: does it still come up?
+
+    It carries no set-ups.  Once it is up it is read for a while, since a server may send on it what it still
+    has to tell, and then closed in good order.
+    """
+
+    __slots__ = ()
+
+    def open(self) -> None:
+        super().open()
+        if self.stream is not None:
+            self.retry.within(CHECK_TIMEOUT_NS, self.stream)
+
+    def connected(self) -> None:
+        super().connected()
+        loop = self.group.back.loop
+        loop.deadlines.at(loop.now + CHECK_KEPT_NS, self._done)
+
+    def _done(self) -> None:
+        self.unfinished.cancel()
+        if self.stream is not None:
+            self.stream.finish_reading()
+
+    def lost(self, why: OSError | None) -> None:
+        was_up, self.stream = self.up, None
+        self.unfinished.cancel()
+        self.retry.cancel()
+        self._log_loss(was_up, why, 0)
+        self.group.check = None
+        if not was_up:
+            self.group.check_failed(why)
+
+
 class Links:
     """The connections to one desk exchange.
 
@@ -139,6 +177,8 @@
 
     def __init__(self, back: DeskBack, desk: Desk, size: int) -> None:
         self.back, self.desk = back, desk
+        self.monitor = EndpointMonitor(back.loop.now)
+        self.check: ReachabilityCheck | None = None
         self.owed: list[bytes] = []  # releases that found no connection
         self.given_up: dict[str, Link] = {}  # where set-ups were that no longer wait, the latest of them
         self.links = [Link(self) for _ in range(size)]
@@ -175,6 +215,33 @@
         # That a connection broke says nothing of the processor behind it; that none comes up does.
         self.back.core.attempt_failed(self.desk, call, outcome, 0 if never_up else LINK_BROKE)
 
+    def connection_failed(self, why: OSError | None) -> None:
+        """A connection broke or never came up; refused while no other is up, its process has died."""
+        if why is None or why.errno != errno.ECONNREFUSED:
+            return
+        if any(link.up for link in self.links):
+            self.monitor.full(self.back.loop.now)
+        else:
+            self.monitor.refused(self.back.loop.now)
+            self.look()
+
+    def check_failed(self, why: OSError | None) -> None:
+        if why is not None and why.errno == errno.ETIMEDOUT:
+            self.monitor.check_failed(self.back.loop.now)
+        else:
+            self.connection_failed(why)
+
+    def look(self) -> None:
+        """Give up calls whose server is gone; where calls stand in silence, try whether it is still there."""
+        now, core = self.back.loop.now, self.back.core
+        loss = self.monitor.loss(now)
+        if loss is not None:
+            core.server_lost(self.desk, loss.reason, loss.before_ns)
+        elif self.check is None and core.standing[self.desk.office] and self.monitor.check_due(now):
+            core.metrics.count("server.checked")
+            self.check = ReachabilityCheck(self)
+            self.check.open()
+
     def owe(self, *messages: bytes) -> None:
         self.owed = [*self.owed, *messages][-OWED_KEPT:]
         link = self.pick()
@@ -198,6 +265,9 @@
     def close(self) -> None:
         for link in self.links:
             link.close()
+        check, self.check = self.check, None
+        if check is not None:
+            check.close()
 
 
 class DeskBack:
@@ -209,6 +279,12 @@
         self.probes: dict[int, tuple[Callable[[bool], None], Deadline]] = {}  # tests that are out
         self._tests = 0
         core.backs["binary"] = self
+        self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
+
+    def _sweep(self) -> None:
+        for links in list(self.desks.values()):
+            links.look()
+        self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
 
     def spoilt(self, desk: Desk, why: str) -> None:
         self.spoilt_seen.count(f"spoilt message from {desk.told.uid}: {why}")
@@ -299,6 +375,9 @@
                 logger.debug("late message of kind {} for call {}", m.kind, call)
                 return
             link.waiting.pop(call, None)
+            set_up_ns = self.core.set_up_at(call)
+            if set_up_ns:
+                link.group.monitor.heard_of_call(self.loop.now, set_up_ns)
         if m.kind == binary.ANSWER:
             self.core.desk_answered(link.desk, call, m.description)
         elif m.kind == binary.RELEASE:
--- a/arrowrail/wire/m3ua/back.py
+++ b/arrowrail/wire/m3ua/back.py
@@ -9,7 +9,8 @@
 
 from loguru import logger
 
-from arrowrail.core import LINK_BROKE, Q850_CUT, Core, Offer
+from arrowrail.core import LINK_BROKE, MS, Q850_CUT, Core, Offer
+from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.loop import Loop
 from arrowrail.state.address import DIGITS
 from arrowrail.state.deadlines import Deadline
@@ -22,6 +23,7 @@
 from arrowrail.wire.reconnect import Reconnect
 from arrowrail.wire.stream import connect
 
+SWEEP_NS = 250 * MS  # between two looks for servers that have fallen silent
 NO_CIRCUIT = 1  # the module's cause
 FACILITY_REJECTED = 29  # Q.850
 
@@ -51,8 +53,10 @@
     uses: dict[int, Use] = field(default_factory=dict)  # by the first CIC
     calls: dict[str, Use] = field(default_factory=dict)  # set-ups out and calls that stand
     retry: Reconnect = field(init=False)
+    monitor: EndpointMonitor = field(init=False)
 
     def __post_init__(self) -> None:
+        self.monitor = EndpointMonitor(self.back.loop.now, resets_on_restart=True)
         self.retry = Reconnect(self.back.loop, self.open)
 
     # --- The association --------------------------------------------------------------------------------
@@ -73,6 +77,7 @@
     def active(self, link: Association) -> None:
         """Set-ups that waited for the handshake go out, and what was left to clear is cleared."""
         self.retry.succeeded()
+        self.monitor.connected(self.back.loop.now)
         for use in list(self.uses.values()):
             if use.clearing:
                 self._clear(use, causes.NORMAL)
@@ -100,12 +105,24 @@
         if self.desk.told.state == TERMINATED:
             return
         logger.debug("association with {} lost: {}", self.desk.told.uid, why)
-        refused = why is not None and why.errno == errno.ECONNREFUSED
-        if self.retry.failed(refused):
-            self.back.core.desk_gone(self.desk)
-            for use in list(self.calls.values()):
-                use.clearing = True
-            self.calls.clear()
+        self.retry.failed()
+        if why is not None and why.errno == errno.ECONNREFUSED:
+            self.monitor.refused(self.back.loop.now)
+        elif never_up:
+            self.monitor.check_failed(self.back.loop.now)
+        self.look()
+
+    def look(self) -> None:
+        """Give up calls whose server is gone; where calls stand in silence, ask for a sign of life."""
+        now, core = self.back.loop.now, self.back.core
+        link = self.link
+        if link is not None and link.state == ACTIVE:
+            self.monitor.heard(link.heard_ns, link.heard_ns)
+        loss = self.monitor.loss(now)
+        if loss is not None:
+            core.server_lost(self.desk, loss.reason, loss.before_ns)
+        elif link is not None and core.standing[self.desk.office] and self.monitor.check_due(now):
+            link.check()
 
     def close(self) -> None:
         self.retry.cancel()
@@ -218,6 +235,12 @@
         self.trunks: dict[int, Trunk] = {}
         self.use(classes)
         core.backs["m3ua"] = self
+        self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
+
+    def _sweep(self) -> None:
+        for trunk in list(self.trunks.values()):
+            trunk.look()
+        self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
 
     def use(self, classes: tuple[ClassRule, ...]) -> None:
         self._classes = {c.class_name: c for c in reversed(classes)}
--- a/arrowrail/wire/m3ua/link.py
+++ b/arrowrail/wire/m3ua/link.py
@@ -21,6 +21,7 @@
 DOWN, INACTIVE, ACTIVE = "down", "inactive", "active"
 HANDSHAKE_NS = 2_000 * MS  # T(ack) of RFC 4666: an answer to ASPUP or ASPAC that takes longer won't come
 MISSED_BEATS = 2
+BEAT_ANSWER_NS = 2_500 * MS  # an answer to a heartbeat that was sent out of turn takes no longer
 UNFINISHED_NS = 2_000 * MS  # a message has 16 KiB at most
 AFFECTED_POINT_CODE = 0x0012
 
@@ -50,6 +51,7 @@
         self.handle = 0  # the front's slot
         self._parser = m3ua.M3uaParser()
         self._handshake: Deadline | None = None
+        self._checking: Deadline | None = None
         self._beat: Deadline | None = None
         self._heard_at = loop.now
         self.bad = Tally(loop)
@@ -92,7 +94,7 @@
     def lost(self, why: OSError | None) -> None:
         self.state = DOWN
         self._unfinished.cancel()
-        for deadline in (self._handshake, self._beat):
+        for deadline in (self._handshake, self._beat, self._checking):
             if deadline is not None:
                 deadline.cancel()
         self.user.lost(self, why)
@@ -106,7 +108,7 @@
             stream.finish()
         self.state = DOWN
         self._unfinished.cancel()
-        for deadline in (self._handshake, self._beat):
+        for deadline in (self._handshake, self._beat, self._checking):
             if deadline is not None:
                 deadline.cancel()
 
@@ -118,6 +120,28 @@
         if self.stream is not None:
             self.stream.send(data, tag)
 
+    @property
+    def heard_ns(self) -> int:
+        """When the peer last said anything."""
+        return self._heard_at
+
+    def check(self) -> None:
+        """A heartbeat out of turn; a peer that leaves it unanswered is given up."""
+        if self._checking is not None or self.state == DOWN:
+            return
+        self._beat_now()
+        sent = self.loop.now
+        self._checking = self.loop.deadlines.at(sent + BEAT_ANSWER_NS, lambda: self._checked(sent))
+
+    def _checked(self, sent_ns: int) -> None:
+        self._checking = None
+        if self._heard_at < sent_ns and self.stream is not None:
+            self.stream.fail(OSError(errno.ETIMEDOUT, "no answer to a heartbeat"))
+
+    def _beat_now(self) -> None:
+        beat = {int(Tag.HEARTBEAT): self.loop.now.to_bytes(8, "big")}
+        self._send(m3ua.encode(Message(Kind.BEAT, beat)))
+
     def _heartbeat(self) -> None:
         """Guards against a peer that vanished, or stalls in the middle of a message, being trusted on."""
         quiet = self.loop.now - self._heard_at
@@ -126,8 +150,7 @@
                 self.stream.fail(OSError(errno.ETIMEDOUT, "no heartbeat"))
             return
         if self.state != DOWN:
-            beat = {int(Tag.HEARTBEAT): self.loop.now.to_bytes(8, "big")}
-            self._send(m3ua.encode(Message(Kind.BEAT, beat)))
+            self._beat_now()
         self._beat = self.loop.deadlines.at(self.loop.now + self.settings.heartbeat_ns, self._heartbeat)
 
     # --- The handshake ----------------------------------------------------------------------------------
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -142,7 +142,14 @@
             if closed is not None:
                 closed()
             return
-        self.finishing, self.owner = True, _Leaving(closed)
+        self.owner = _Leaving(closed)
+        self.finish_reading()
+
+    def finish_reading(self) -> None:
+        """As ``finish``, but the owner still gets what comes until the peer closes."""
+        if not self.open or self.connecting or self.finishing:
+            return
+        self.finishing = True
         self.loop.leaving[self] = None
         if len(self.loop.leaving) > MOST_LEAVING:
             next(iter(self.loop.leaving)).fail(None)
--- a/tests/incidents/test_b85302.py
+++ b/tests/incidents/test_b85302.py
@@ -105,3 +105,52 @@
         assert not told.keys() & set(kept)
         caller.send("BYE", kept[0])
         assert caller.answer(kept[0], "BYE").status == 200
+
+
+def test_callers_are_told_when_a_new_process_takes_the_place_of_a_vanished_one(tmp_path: Path) -> None:
+    with world(tmp_path) as trial:
+        caller = Caller(trial.controller)
+        lost = trial.stand(caller, 1, 5, exchange=1)
+        assert len(lost) >= 3
+        vanished = trial.fault("s1", "vanish")
+        time.sleep(4.0)
+        trial.fault("s1", "pass", forget=True)  # connections come up again; those of before stay silent
+        assert releases(caller, set(lost), vanished).keys() == set(lost)
+
+
+def test_callers_are_told_when_a_server_dies_and_is_back_before_anybody_says_so(tmp_path: Path) -> None:
+    with world(tmp_path) as trial:
+        caller = Caller(trial.controller)
+        lost = trial.stand(caller, 1, 5, exchange=1)
+        assert len(lost) >= 3
+        died = trial.fault("s1", "refuse")
+        time.sleep(1.0)
+        trial.fault("s1", "pass")
+        assert releases(caller, set(lost), died).keys() == set(lost)
+
+
+def test_calls_outlive_an_outage_of_the_link_that_is_mended_in_time(tmp_path: Path) -> None:
+    with world(tmp_path) as trial:
+        caller = Caller(trial.controller)
+        kept = trial.stand(caller, 1, 5, exchange=1)
+        assert len(kept) >= 3
+        since = trial.fault("s1", "vanish")
+        time.sleep(5.0)
+        trial.fault("s1", "pass")
+        # One more call: its group changes, and the server says so on the connections of before.
+        kept += trial.stand(caller, 11, 1, exchange=1)
+        assert releases(caller, set(kept), since + 2.0).keys() == set()
+        for call in kept:
+            caller.send("BYE", call)
+            assert caller.answer(call, "BYE").status == 200
+
+
+def test_calls_outlive_resets_of_all_connections(tmp_path: Path) -> None:
+    with world(tmp_path) as trial:
+        caller = Caller(trial.controller)
+        kept = trial.stand(caller, 1, 5, exchange=1)
+        since = time.monotonic()
+        for _ in range(3):
+            trial.fault("s1", "reset")
+            time.sleep(0.5)
+        assert releases(caller, set(kept), since + 2.0).keys() == set()
--- /dev/null
+++ b/tests/test_failure_detection.py
@@ -0,0 +1,105 @@
+"""Which contacts keep the calls of a server, and which let them be given up, and when."""
+
+from __future__ import annotations
+
+from arrowrail.failure_detection.endpoint import (
+    MS,
+    REFUSED,
+    RESTARTED,
+    SILENCE_LIMIT_NS,
+    TELL_LIMIT_NS,
+    UNREACHABLE,
+    EndpointMonitor,
+    Loss,
+)
+
+START = 1_000_000 * MS
+OPENED = START - 10_000 * MS  # when the connection of before came up
+LIMIT = SILENCE_LIMIT_NS // MS
+
+
+def interrupted() -> EndpointMonitor:
+    """Heard at START, and then two connections did not come up."""
+    monitor = EndpointMonitor(START - 60_000 * MS)
+    monitor.heard(START, OPENED)
+    for after in (2100, 3300):
+        monitor.check_failed(START + after * MS)
+    return monitor
+
+
+def loss(monitor: EndpointMonitor, after_ms: int) -> Loss | None:
+    return monitor.loss(START + after_ms * MS)
+
+
+def test_a_silent_server_that_takes_no_connection_is_lost_before_the_limit_to_tell_callers() -> None:
+    monitor = interrupted()
+    assert loss(monitor, LIMIT - 1) is None
+    assert loss(monitor, LIMIT) == Loss(UNREACHABLE, 0)
+    assert loss(monitor, LIMIT + 1000) is None, "told once"
+    assert SILENCE_LIMIT_NS < TELL_LIMIT_NS
+
+
+def test_one_connection_that_never_comes_up_is_no_interruption() -> None:
+    monitor = EndpointMonitor(START)
+    monitor.check_failed(START + 2000 * MS)
+    monitor.connected(START + 2100 * MS)
+    monitor.check_failed(START + 4000 * MS)
+    assert loss(monitor, 60_000) is None
+
+
+def test_silence_alone_asks_for_a_check_and_proves_nothing() -> None:
+    monitor = EndpointMonitor(START)
+    assert not monitor.check_due(START + 900 * MS) and monitor.check_due(START + 1000 * MS)
+    monitor.connected(START + 1100 * MS)
+    assert not monitor.check_due(START + 2000 * MS)
+    assert loss(monitor, 60_000) is None
+
+
+def test_bytes_on_a_connection_of_before_keep_the_calls() -> None:
+    monitor = interrupted()
+    monitor.connected(START + 5000 * MS)
+    monitor.heard(START + 5100 * MS, OPENED)
+    assert loss(monitor, LIMIT) is None
+
+
+def test_a_new_process_at_the_address_keeps_only_the_calls_set_up_on_it() -> None:
+    monitor = interrupted()
+    monitor.connected(START + 5000 * MS)
+    monitor.heard(START + 5100 * MS, START + 5000 * MS)
+    monitor.heard_of_call(START + 5200 * MS, START + 5100 * MS)
+    assert loss(monitor, LIMIT) == Loss(RESTARTED, START + 5000 * MS)
+
+
+def test_news_of_a_call_of_before_keeps_the_others() -> None:
+    monitor = interrupted()
+    monitor.connected(START + 5000 * MS)
+    monitor.heard_of_call(START + 5200 * MS, START - 100 * MS)
+    assert loss(monitor, LIMIT) is None
+
+
+def test_a_second_interruption_does_not_move_the_limit_of_the_first() -> None:
+    monitor = interrupted()
+    monitor.connected(START + 4000 * MS)
+    for after in (6200, 7000):
+        monitor.check_failed(START + after * MS)
+    assert loss(monitor, LIMIT) == Loss(UNREACHABLE, 0)
+
+
+def test_a_process_that_refuses_for_long_is_lost_and_one_that_only_holds_enough_is_not() -> None:
+    monitor = EndpointMonitor(START)
+    for after in (100, 1000, 2000):
+        monitor.refused(START + after * MS)
+        assert loss(monitor, after) is None
+    assert loss(monitor, 2101) == Loss(REFUSED, 0)
+    monitor = EndpointMonitor(START)
+    for after in range(0, 9000, 1000):
+        monitor.full(START + after * MS)
+    assert loss(monitor, 9000) is None
+
+
+def test_where_a_restart_is_signalled_a_connection_ends_the_doubt() -> None:
+    monitor = EndpointMonitor(START, resets_on_restart=True)
+    for after in (2100, 3300):
+        monitor.check_failed(START + after * MS)
+    monitor.connected(START + 5000 * MS)
+    assert loss(monitor, LIMIT) is None
