Keep a drained server's connections while calls are left on them, then close them

Before, connections to a draining server stayed until it was gone and were made again when they broke. Change: a pool of connections knows whether it is in use; once nothing is left its connections are half-closed and read until the server closes, so that a release on its way is not destroyed. Also a test that calls on a vanished M3UA peer are released in time.

--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -12,7 +12,7 @@
 from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, EndpointMonitor
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
+from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Desk
 from arrowrail.telemetry.events import event, reason_of
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
@@ -59,7 +59,7 @@
         return self.stream is not None and not self.stream.connecting
 
     def open(self) -> None:
-        if self.stream is not None or self.desk.told.state == TERMINATED:
+        if self.stream is not None or not self.group.in_use:
             return
         self.retry.cancel()
         self.parser = binary.BinaryParser()
@@ -134,6 +134,26 @@
             stream.close()
 
 
+class ReadOnlyLink(Link):
+    """Takes over a connection that is no longer used: it is half-closed, and read until the server closes
+    it."""
+
+    __slots__ = ()
+
+    def take_over(self, link: Link) -> None:
+        stream, link.stream = link.stream, None
+        if stream is None:
+            return
+        self.stream, self.parser, self.opened_ns = stream, link.parser, link.opened_ns
+        stream.owner = self
+        link.unfinished.cancel()
+        stream.finish_reading()
+
+    def lost(self, why: OSError | None) -> None:
+        self.stream = None
+        self.unfinished.cancel()
+
+
 class ReachabilityCheck(Link):
     """One more connection, tried while calls stand and the server says nothing: does it still come up?
 
@@ -215,6 +235,25 @@
         # That a connection broke says nothing of the processor behind it; that none comes up does.
         self.back.core.attempt_failed(self.desk, call, outcome, 0 if never_up else LINK_BROKE)
 
+    @property
+    def in_use(self) -> bool:
+        """Whether connections are wanted: a server that drains keeps its own while anything is left on it."""
+        state = self.desk.told.state
+        if state == TERMINATING:
+            left = self.owed or any(link.waiting for link in self.links)
+            return bool(left or self.back.core.standing[self.desk.office])
+        return state == IN_SERVICE
+
+    def _close_drained(self) -> None:
+        """Close connections on which nothing is left; what still comes on them is read until the peer
+        closes."""
+        for link in self.links:
+            link.retry.cancel()
+            if link.stream is not None and link.stream.connecting:
+                link.stream.fail(None)
+            elif link.stream is not None and link.stream.flushed:
+                ReadOnlyLink(self).take_over(link)
+
     def connection_failed(self, why: OSError | None) -> None:
         """A connection broke or never came up; refused while no other is up, its process has died."""
         if why is None or why.errno != errno.ECONNREFUSED:
@@ -237,6 +276,8 @@
         loss = self.monitor.loss(now)
         if loss is not None:
             core.server_lost(self.desk, loss.reason, loss.before_ns)
+        elif not self.in_use:
+            self._close_drained()
         elif self.check is None and core.standing[self.desk.office] and self.monitor.check_due(now):
             core.metrics.count("server.checked")
             self.check = ReachabilityCheck(self)
@@ -255,12 +296,14 @@
                 link.stream.send(data, OWED)
 
     def send(self, message: DeskMessage, tag: str | None = None) -> None:
-        link = self.pick()
+        link, data = self.pick(), binary.encode(message)
+        if link.stream is None and tag == OWED:
+            self.owed = [*self.owed, data][-OWED_KEPT:]  # paid once a connection is up
+            link.open()
+            return
         link.open()
         if link.stream is not None:
-            link.stream.send(binary.encode(message), tag)
-        elif tag == OWED:
-            self.owe(binary.encode(message))
+            link.stream.send(data, tag)
 
     def close(self) -> None:
         for link in self.links:
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -453,3 +454,21 @@
         assert good.closed() and run.core.requests  # no association owns a call that stands
         peer.sock.sendall(b"\1\0\3")
         desk(port)
+
+
+def test_calls_on_a_peer_that_vanished_are_released_within_the_limit() -> None:
+    port = Listening()
+    with running(operator=configured(behind("m1", port, 1, DESK))) as run:
+        peer, good = desk(port), client(run)
+        run.until(lambda: 1 in run.core.module.groups and run.core.module.groups[1].size > 0)
+        good.send(1, IAM, called="15")
+        peer.send(peer.isup(IAM).cic, ANM)
+        good.isup(ANM, 1)
+        vanished = time.monotonic()
+        port.sock.listen(0)  # a full queue answers no more than a machine that is gone
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port.port))
+        assert good.isup(REL, 1).cause == 41
+        assert time.monotonic() - vanished < 8.05
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -324,6 +324,29 @@
         set_up(successor, B)
 
 
+def test_a_drained_connection_stays_until_its_calls_are_over_and_is_closed_then() -> None:
+    desk, bus = Listening(), BusStand()
+    with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
+        bus.accept()
+        peer, caller = desk.desk(), Caller(run.port)
+        caller.invite(A)
+        set_up(peer, A)
+        tell(peer, binary.ANSWER, A)
+        assert caller.answer(A).status == 200
+        bus.tell(news(2, target("d1", desk.address, 1, "terminating")))
+        run.until(lambda: run.core.directory.desks[1].told.state == "terminating")
+        caller.invite(B)
+        assert caller.answer(B).status == 503  # nothing new goes to it
+        tell(peer, binary.RELEASE, A, cause=16)
+        assert caller.bye(A).call_id == A
+        peer.take(lambda m: m.kind == binary.RELEASE_HEARD)
+        assert peer.closed()
+        peer.sock.close()
+        bus.tell(news(3, target("d1", desk.address, 1)))
+        caller.invite(C)
+        set_up(desk.desk(), C)  # back in service, it is reached again
+
+
 def test_the_bus_is_followed_over_cuts_and_gaps() -> None:
     desk, bus = Listening(), BusStand()
     with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
