Answer everything before the kill: one plan for the time from SIGTERM to SIGKILL

Cause: a shutdown held requests for their own deadline (9 s) though the kill comes after 3.7 s, and ended 0.7 s after SIGTERM as soon as nothing was open, while clients go on sending on open connections (Program.done). Requests get the time that is left until 0.3 s before the kill, also those that are open already; later ones are refused in the turn in which they come; the process ends once no client is connected, or 0.2 s after the time of the kill. All fronts and the sidecar share it. The monitor of a server that was given up is quiet until something comes from it, and checks really take 1.1 s.

--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -9,11 +9,12 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from loguru import logger
 
+from arrowrail.shutdown.plan import ShutdownPlan
 from arrowrail.state.deadlines import Deadline, Deadlines
 from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk, Directory, Told
 from arrowrail.state.slots import SlotTable
@@ -104,6 +105,10 @@
     def flushed(self) -> bool:
         """Whether all that was said has been written."""
 
+    @property
+    def connections(self) -> int:
+        """How many connections of callers are open."""
+
 
 class Back(Protocol):
     def changed(self, desk: Desk) -> None:
@@ -117,6 +122,7 @@
 
 
 NO_ROUTE, OVER_LIMIT = "no_route", "over_limit"  # outcomes of set-ups that the door turns away
+SHUTDOWN = "shutdown"  # the outcome of requests that are cut off by the end of the process
 
 
 class Door(Protocol):
@@ -157,6 +163,7 @@
         self.unanswered = 0  # requests that are still owed their final answer
         self.defects = 0  # checks that fired: each is a defect of ours to find
         self.metrics = Metrics()
+        self.shutdown: ShutdownPlan | None = None  # once told to end
         self.standing: Counter[int] = Counter()  # calls that stand, by server
 
     @property
@@ -177,6 +184,12 @@
         call_event("request.taken", offer.call, "taken, class {kind}, answer due in {due_ms} ms",
                    kind=offer.class_name, due_ms=(offer.deadline_ns - self.now) // MS)  # fmt: skip
         handle = request.handle
+        if self.shutdown is not None:
+            if not self.shutdown.takes(self.now):
+                self.metrics.count("request.refused", SHUTDOWN)
+                self.turned_away.append((request, Answer(REFUSED, outcome=SHUTDOWN)))
+                return True
+            offer = request.offer = replace(offer, deadline_ns=self.shutdown.due_ns(offer.deadline_ns))
         if self.door is not None:
             request.taken_ns = self.now
             offer, refusal = self.door.enter(self.now, (id(front), line), offer)
@@ -304,9 +317,11 @@
                 self._call_over(request, attempt, "connection_lost", reason)
             else:
                 self._give_up(request, attempt, "connection_lost")
+        if not cut:
+            return
         self.metrics.count("server.lost", reason)
         event("server.lost", "{server} is lost ({reason}); {calls} calls that stood there are over: {ids}",
-              level="WARNING" if cut else "INFO", server=desk.told.uid, reason=reason, calls=len(cut),
+              level="WARNING", server=desk.told.uid, reason=reason, calls=len(cut),
               ids=some_ids(cut))  # fmt: skip
 
     def release_all(self, front: Front, cause: int) -> int:
@@ -359,6 +374,23 @@
                 # same uid: it knows nothing of what was sent to the one before it.
                 self.server_lost(desk, "started_anew", desk.told.since_ns)
 
+    def shut_down(self, plan: ShutdownPlan) -> None:
+        """Told to end: from now on no request is owed an answer later than the plan says."""
+        if self.shutdown is None:
+            self.shutdown = plan
+            self.deadlines.at(plan.answer_by_ns, self._cut_off)
+
+    def _cut_off(self) -> None:
+        """Everything that is open gets its final answer, while there is time for it to arrive."""
+        open_ = [request for request in self.requests if not request.stands]
+        for request in open_:
+            call = request.offer.call
+            self.events.append(i.CallerGone(call))
+            self._answer(call, FAILED if request.attempts else REFUSED, 0)
+        if open_:
+            event("shutdown.cut_off", "{requests} requests are answered before the kill: {ids}",
+                  requests=len(open_), ids=some_ids([r.offer.call for r in open_]))  # fmt: skip
+
     # --- The turn ---------------------------------------------------------------------------------------
 
     def turn(self) -> None:
--- a/arrowrail/failure_detection/endpoint.py
+++ b/arrowrail/failure_detection/endpoint.py
@@ -51,7 +51,10 @@
     does, so that a connection that comes up ends an interruption by itself.
     """
 
-    __slots__ = ("_contact_ns", "_failed_checks", "_interrupted_ns", "_refused_ns", "_resets", "_returned_ns")
+    __slots__ = (
+        "_contact_ns", "_failed_checks", "_given_up", "_interrupted_ns", "_refused_ns", "_resets",
+        "_returned_ns",
+    )  # fmt: skip
 
     def __init__(self, now: int, resets_on_restart: bool = False) -> None:
         self._contact_ns = now
@@ -59,6 +62,7 @@
         self._interrupted_ns = 0  # the last contact before the interruption; 0: there is none
         self._returned_ns = 0  # when something came up again after it; 0: nothing did
         self._refused_ns = 0  # since when connections are refused; 0: they are not
+        self._given_up = False  # its calls were given up, and nothing came from it since
         self._resets = resets_on_restart
 
     @property
@@ -107,21 +111,26 @@
 
     def loss(self, now: int) -> Loss | None:
         """The calls to give up now, told once for each interruption."""
+        if self._given_up:
+            return None
         if self._refused_ns and now - self._refused_ns > REFUSED_LIMIT_NS:
-            self._refused_ns = now  # not again at once, while it stays so
-            self._interrupted_ns = 0
+            self._given_up, self._interrupted_ns = True, 0
             return Loss(REFUSED, 0)
         if not self._interrupted_ns or now - self._interrupted_ns < SILENCE_LIMIT_NS:
             return None
         self._interrupted_ns = 0
+        self._given_up = not self._returned_ns
         return Loss(RESTARTED if self._returned_ns else UNREACHABLE, self._returned_ns)
 
     def _contact(self, now: int) -> None:
         self._contact_ns = now
         self._failed_checks = 0
         self._refused_ns = 0
+        self._given_up = False
 
     def _interrupt(self) -> None:
+        if self._given_up:
+            return
         if not self._interrupted_ns:
             self._interrupted_ns = self._contact_ns
         self._returned_ns = 0  # what came up meanwhile is out of reach again
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -83,6 +83,8 @@
 class Quiet:
     """A front and a back that answer at once, so that what is measured is what lies between."""
 
+    connections = 0
+
     def __init__(self, core: Core) -> None:
         self.core, self.answers = core, 0
 
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -16,6 +16,8 @@
 from arrowrail.run.config import Config, from_environment
 from arrowrail.run.log import log_to
 from arrowrail.run.wake import on_signal
+from arrowrail.shutdown.plan import ShutdownPlan
+from arrowrail.telemetry.events import event
 from arrowrail.wire.bus.client import BusClient
 from arrowrail.wire.desk.back import DeskBack
 from arrowrail.wire.sip.front import SipFront
@@ -25,8 +27,6 @@
     from arrowrail.run.extras import Extras
     from arrowrail.run.result import Result
 
-# After SIGTERM connections come for up to 0.4 s more, and requests on them for 0.2 s after that.
-STILL_COMING_NS = 700 * MS
 MOST_LINKS, LINK_SHARE = 4, 64  # of 256 descriptors, nine desk exchanges get 36
 METRICS_NS = 10_000 * MS  # between two lines of counters in the log
 FLUSH_NS = 500 * MS  # for answers that are not written to their end
@@ -43,7 +43,6 @@
         self.bus = BusClient(self.loop, self.core, config.bus)
         self.config, self.operator = config, operator
         self.extras: Extras | None = None
-        self.stopping_at = 0  # when nothing new can come any more; 0: not told to stop
         self.flush_by = 0
 
     def start(self) -> None:
@@ -64,11 +63,11 @@
         self.loop.deadlines.at(self.loop.now + METRICS_NS, self._report_metrics)
 
     def stop(self, number: int) -> None:
-        """Told to stop: go on serving until nothing new can come and all that was taken is answered."""
-        if not self.stopping_at:
-            self.stopping_at = self.loop.now + STILL_COMING_NS
-            logger.info("signal {}: finishing {} requests", number, self.core.unanswered)
-            self.loop.deadlines.at(self.stopping_at, lambda: None)
+        """Told to stop: go on serving as the plan of a shutdown says; a second signal changes nothing."""
+        event("shutdown.signal", "signal {number}: {requests} requests are open", number=number,
+              requests=self.core.unanswered, again=self.core.shutdown is not None)  # fmt: skip
+        longest_ns = max(kind.deadline_ns for kind in self.config.settings.classes)
+        self.core.shut_down(ShutdownPlan(self.loop.now, longest_ns))
 
     def reload(self, config: Config, operator: Controller | None = None) -> None:
         """Take up what may change under way; nothing that is in flight is touched."""
@@ -88,8 +87,11 @@
         self.core.turn()
 
     def done(self) -> bool:
-        now = self.loop.now
-        if not self.stopping_at or now < self.stopping_at or self.core.unanswered:
+        now, plan = self.loop.now, self.core.shutdown
+        if plan is None:
+            return False
+        connections = sum(front.connections for front in self.core.fronts)
+        if not plan.may_end(now, self.core.unanswered, connections):
             return False
         if not self.flush_by:
             # Guards against the last answers being lost in buffers; a peer that reads nothing can't hold us.
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from arrowrail.core import MS, Q850_CUT, Core, Front
+from arrowrail.core import MS, Q850_CUT, Core
 from arrowrail.duties.hints import SILENT
 from arrowrail.run.config import Config
 from arrowrail.run.log import log_to
@@ -184,7 +184,7 @@
         """Guards against calls of an application that has died holding circuits for nobody."""
         now = self.program.loop.now
         for front in self.core.fronts:
-            if _connections(front):
+            if front.connections:
                 self._alone_since.pop(id(front), None)
                 continue
             since = self._alone_since.setdefault(id(front), now)
@@ -196,11 +196,6 @@
                       calls=released)  # fmt: skip
 
 
-def _connections(front: Front) -> int:
-    held: Any = getattr(front, "callers", None) or getattr(front, "links", ())
-    return len(held)
-
-
 class Signalling:
     """The M3UA-style front and back, where the records ask for them."""
 
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -166,6 +166,7 @@
     def open(self) -> None:
         super().open()
         if self.stream is not None:
+            self.retry.cancel()
             self.retry.within(CHECK_TIMEOUT_NS, self.stream)
 
     def connected(self) -> None:
--- a/arrowrail/wire/m3ua/front.py
+++ b/arrowrail/wire/m3ua/front.py
@@ -163,6 +163,10 @@
     def release_unknown(self, call: str, cause: int) -> None:
         """A call from before our restart has no circuit here that could be named."""
 
+    @property
+    def connections(self) -> int:
+        return len(self.links)
+
     def flushed(self) -> bool:
         return all(link.stream is None or link.stream.flushed for link in self.links)
 
--- a/arrowrail/wire/sip/front.py
+++ b/arrowrail/wire/sip/front.py
@@ -379,6 +379,10 @@
             self._again_at = now + PATIENCE_NS
             self.loop.deadlines.at(self._again_at, self._deliver)
 
+    @property
+    def connections(self) -> int:
+        return len(self.callers)
+
     def flushed(self) -> bool:
         return all(caller.stream.flushed for caller in self.callers)
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -128,6 +128,15 @@
     def accept(self) -> socket.socket:
         return self.sock.accept()[0]
 
+    def forget_waiting(self) -> None:
+        """Close the connections that nobody has accepted yet, as those of a process that has ended."""
+        self.sock.setblocking(False)
+        try:
+            while True:
+                self.sock.accept()[0].close()
+        except BlockingIOError:
+            self.sock.settimeout(LIMIT_S)
+
     def desk(self, free: int = 10) -> Peer[binary.DeskMessage]:
         """The next connection of a binary back, told the state of the group at once."""
         peer: Peer[binary.DeskMessage] = Peer(self.accept(), binary.BinaryParser().feed)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -35,6 +35,8 @@
 class Recorder:
     """Front and back in one: what the core told them, in order."""
 
+    connections = 0
+
     def __init__(self) -> None:
         self.said: list[tuple[Any, ...]] = []
 
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -701,6 +701,7 @@
         tell(peer, binary.ANSWER, B)
         assert first.answer(A).status == second.answer(B).status == 200
         assert spawned.process.wait(20) == 0
+        desk.forget_waiting()
         spawned.start()
         again, peer = spawned.caller(), desk.desk()
         again.send("BYE", A)
