--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -366,10 +366,12 @@
         for desk in changed:
             if desk.told.exchange == self.settings.own_exchange:
                 continue  # nothing is ever sent to the own exchange
-            self._back(desk).changed(desk)
             if desk.told.state == TERMINATED:
+                # While its connections are there: what listens at its address may be its successor, and hold
+                # calls that were sent before anybody said so.
                 self.server_lost(desk, "removed")
-            elif 0 < desk.told.since_ns <= self.now:
+            self._back(desk).changed(desk)
+            if desk.told.state != TERMINATED and 0 < desk.told.since_ns <= self.now:
                 # Guards against calls left standing for good on a process that was started anew under the
                 # same uid: it knows nothing of what was sent to the one before it.
                 self.server_lost(desk, "started_anew", desk.told.since_ns)
--- a/arrowrail/failure_detection/endpoint.py
+++ b/arrowrail/failure_detection/endpoint.py
@@ -7,12 +7,14 @@
 What counts as proof, strongest first:
 
 - News of a call, or bytes on a connection, from before an interruption: it is the same process, and its calls
-stand.
-- A connection that comes up: something is there.  After an interruption it may be a new process at the same
-  address, which knows nothing of the calls of before.
-- A connection that never comes up, twice in a row, or is refused while none is up: an interruption.  Once is
-not
-  enough, since single connections get lost on the way to servers that are well.
+  stand.
+- A connection that comes up: something is there.  Where the server has always spoken at once on new
+connections,
+  as to tell its state, one that stays mute proves nothing: a process that hangs takes connections, too.
+  After an interruption it may be a new process at the same address, which knows nothing of the calls of
+  before.
+- A connection that never comes up, or stays mute, twice in a row, or one that is refused while none is up: an
+  interruption.  Once is not enough, since single connections get lost on the way to servers that are well.
 
 All times are Unix times in ns.
 """
@@ -30,6 +32,8 @@
 # this figure.
 CHECK_AFTER_NS = 1_000 * MS
 CHECK_TIMEOUT_NS = 1_100 * MS  # STANDING: connections to servers may come up late, up to 1 s
+GREETING_NS = 1_000 * MS  # a server that greets does so within this time
+GREETINGS = 3  # in a row, until a server is known to greet
 FAILED_CHECKS = 2  # in a row, until an interruption is believed
 REFUSED_LIMIT_NS = 2_000 * MS  # a process that only restarts its listener keeps its calls
 
@@ -52,8 +56,8 @@
     """
 
     __slots__ = (
-        "_contact_ns", "_failed_checks", "_given_up", "_interrupted_ns", "_refused_ns", "_resets",
-        "_returned_ns",
+        "_contact_ns", "_failed_checks", "_given_up", "_greetings", "_interrupted_ns", "_refused_ns",
+        "_resets", "_returned_ns",
     )  # fmt: skip
 
     def __init__(self, now: int, resets_on_restart: bool = False) -> None:
@@ -63,6 +67,7 @@
         self._returned_ns = 0  # when something came up again after it; 0: nothing did
         self._refused_ns = 0  # since when connections are refused; 0: they are not
         self._given_up = False  # its calls were given up, and nothing came from it since
+        self._greetings = 0  # connections in a row on which the server spoke at once
         self._resets = resets_on_restart
 
     @property
@@ -82,10 +87,24 @@
         if not self._returned_ns or set_up_ns < self._returned_ns:
             self._interrupted_ns = 0
 
+    def greeted(self, now: int, opened_ns: int) -> None:
+        """The first bytes came on a connection that was opened at that time."""
+        if now - opened_ns <= GREETING_NS:
+            self._greetings += 1
+
+    def mute(self, now: int) -> None:
+        """A connection came up, and nothing was said on it for ``GREETING_NS``."""
+        if self._greetings >= GREETINGS:
+            self.check_failed(now)
+        else:
+            self._greetings = 0
+
     def connected(self, now: int) -> None:
         """A connection came up."""
-        self._contact(now)
+        if self._greetings < GREETINGS:
+            self._contact(now)
         if self._resets:
+            self._contact(now)
             self._interrupted_ns = 0
         elif self._interrupted_ns and not self._returned_ns:
             self._returned_ns = now
--- a/arrowrail/lab/application.py
+++ b/arrowrail/lab/application.py
@@ -12,7 +12,7 @@
 import random
 
 from arrowrail.core import MS
-from arrowrail.lab.exchange import run_until_told
+from arrowrail.lab.commands import run_until_told
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import Loop
 from arrowrail.wire.sip import messages as sip
--- a/arrowrail/lab/bus.py
+++ b/arrowrail/lab/bus.py
@@ -7,17 +7,15 @@
 from __future__ import annotations
 
 import argparse
-import os
 import socket
-import sys
 from typing import Any
 
 import orjson
 
 from arrowrail.core import MS
-from arrowrail.lab.exchange import run_until_told
+from arrowrail.lab.commands import read_commands, run_until_told
 from arrowrail.lab.ledger import Ledger
-from arrowrail.loop import READ, Loop
+from arrowrail.loop import Loop
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.stream import Stream
 
@@ -43,8 +41,9 @@
         last = next((int(p.split(b":")[1]) for p in lines if p.startswith(b"last-event-id:")), 0)
         self.reads = True
         self.stream.send(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
-        for event in self.bus.events[last:]:
-            self.tell(event)
+        for event in self.bus.events:
+            if event["offset"] > last:
+                self.tell(event)
         self.bus.readers.append(self)
 
     def tell(self, event: dict[str, Any]) -> None:
@@ -56,15 +55,15 @@
 
 
 class StandInBus:
-    def __init__(self, loop: Loop, address: str, ledger: Ledger) -> None:
-        self.loop, self.ledger = loop, ledger
+    def __init__(self, loop: Loop, address: str, ledger: Ledger, first: int = 1) -> None:
+        self.loop, self.ledger, self.first = loop, ledger, first
         self.events: list[dict[str, Any]] = []
         self.readers: list[Reader] = []
         self.listener = Listener(loop, address, lambda s: Reader(self, s), lambda: True, lambda: False)
         self._comment()
 
     def publish(self, targets: list[dict[str, Any]]) -> None:
-        number = len(self.events) + 1
+        number = len(self.events) + self.first
         event = {"offset": number, "topology": {"rev": number, "all": number == 1, "targets": targets}}
         self.events.append(event)
         self.ledger.say("told", offset=number, targets=targets)
@@ -81,22 +80,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--listen", required=True)
     parser.add_argument("--ledger", required=True)
+    parser.add_argument("--first", type=int, default=1, help="the number of the first event")
     g = parser.parse_args()
     loop, ledger = Loop(), Ledger(g.ledger)
-    bus = StandInBus(loop, g.listen, ledger)
-    rest = bytearray()
-
-    def told(_mask: int) -> None:
-        data = os.read(0, 65536)
-        if not data:
-            loop.unwatch(sys.stdin)
-        rest.extend(data)
-        while b"\n" in rest:
-            line, _, after = bytes(rest).partition(b"\n")
-            rest[:] = after
-            bus.publish(orjson.loads(line))
-
-    loop.watch(sys.stdin, READ, told)
+    bus = StandInBus(loop, g.listen, ledger, g.first)
+    read_commands(loop, bus.publish)
     run_until_told(loop, ledger)
 
 
--- a/arrowrail/lab/drills/__init__.py
+++ b/arrowrail/lab/drills/__init__.py
@@ -9,6 +9,7 @@
 
 NAMES = {
     "sidecar": "three sidecars, their applications and exchanges: surge, drain, reload, kills",
+    "soak": "short, dense fault trials of controllers, one a seed, judged by all rules",
     "duties": "instances that share the probing of exchanges: kill, hang, split, a key rolled",
 }
 
--- a/arrowrail/lab/exchange.py
+++ b/arrowrail/lab/exchange.py
@@ -3,19 +3,21 @@
 ``python -m arrowrail.lab.exchange --listen ADDRESS --ledger FILE [--circuits N] [--seed N] ...``
 
 It writes every set-up, answer, refusal and release to its ledger.  A fault is ``WHAT:FROM:SECONDS`` from its
-start: ``silent`` takes set-ups and answers none, ``full`` refuses all, ``slow`` answers ten times later,
-``cut`` resets its connections once.
+start, or a line ``{"fault": WHAT, "seconds": S}`` on its standard input: ``silent`` takes set-ups and answers
+none, ``full`` refuses all, ``error`` fails all, ``slow`` answers ten times later, ``spoil`` answers with
+noise, ``twice`` answers two times, ``cut`` resets its connections once.
 """
 
 from __future__ import annotations
 
 import argparse
 import random
-import signal
 import socket
 from dataclasses import dataclass
+from typing import Any
 
 from arrowrail.core import MS
+from arrowrail.lab.commands import read_commands, run_until_told
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
@@ -25,7 +27,9 @@
 from arrowrail.wire.stream import Stream
 
 S = 1_000 * MS
-DESCRIPTION = b"c=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0\r\n"
+MEDIA = "c=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0\r\n"
+NOISE = b"\x0f\xff\x09" + b"\x5a" * 61  # no message: its kind is unknown
+ERROR_CAUSE = 47
 LATE_NS = 8 * S  # how long a release is told to connections that open
 GROUP_NS = 100 * MS  # at most so often is the state of the group told
 
@@ -71,6 +75,7 @@
 @dataclass(slots=True)
 class Held:
     peer: Peer
+    kind: str
     stands: bool = False
     timer: Deadline | None = None
 
@@ -79,7 +84,9 @@
     def __init__(
         self, loop: Loop, address: str, ledger: Ledger, circuits: int = 100, seed: int = 1,
         set_up_ms: float = 40.0, hold_ms: float = 1500.0, faults: tuple[Fault, ...] = (),
+        class_holds: dict[str, float] | None = None, name: str = "desk",
     ) -> None:  # fmt: skip
+        self.name, self.class_holds = name, class_holds or {}
         self.loop, self.ledger, self.circuits = loop, ledger, circuits
         self.random = random.Random(seed)
         self.set_up_ms, self.hold_ms, self.faults = set_up_ms, hold_ms, faults
@@ -99,6 +106,16 @@
         since = self.loop.now - self.started
         return any(f.what == what and f.since <= since < f.until for f in self.faults)
 
+    def command(self, asked: Any) -> None:
+        """Begin a fault now, for some seconds."""
+        since = self.loop.now - self.started
+        fault = Fault(asked["fault"], since, since + int(asked.get("seconds", 0.0) * S))
+        self.ledger.say("fault", **asked)
+        if fault.what == "cut":
+            self._cut()
+        else:
+            self.faults = (*(f for f in self.faults if f.until > since), fault)
+
     def _cut(self) -> None:
         for peer in list(self.peers):
             peer.stream.fail(None)
@@ -133,7 +150,11 @@
             self.ledger.say("refused", call=call)
             peer.say(DeskMessage(binary.RELEASE, m.call, cause=34, note="group_full"))
             return
-        held = self.calls[m.call] = Held(peer)
+        if self._under("error"):
+            self.ledger.say("refused", call=call)
+            peer.say(DeskMessage(binary.RELEASE, m.call, cause=ERROR_CAUSE))
+            return
+        held = self.calls[m.call] = Held(peer, m.class_name)
         if self._under("silent"):
             return
         wait = self.set_up_ms * self.random.uniform(0.5, 1.5) * (10 if self._under("slow") else 1)
@@ -146,24 +167,31 @@
             return
         held.stands = True
         self.ledger.say("answered", call=f"{call:016x}")
-        held.peer.say(DeskMessage(binary.ANSWER, call, description=DESCRIPTION))
-        wait = self.hold_ms * self.random.uniform(0.5, 1.5)
+        if self._under("spoil"):
+            held.peer.stream.send(NOISE)
+        else:
+            answer = DeskMessage(binary.ANSWER, call, description=self.description(call))
+            for _ in range(2 if self._under("twice") else 1):
+                held.peer.say(answer)
+        wait = self.class_holds.get(held.kind, self.hold_ms) * self.random.uniform(0.5, 1.5)
         held.timer = self.loop.deadlines.at(self.loop.now + int(wait * MS), lambda: self._over(call))
 
+    def description(self, call: int) -> bytes:
+        """What stands in the answer to a call, and in no other."""
+        return f"o={self.name} {call:016x}\r\n{MEDIA}".encode()
+
     def _over(self, call: int) -> None:
         held = self.calls.get(call)
         if held is None:
             return
         self.ledger.say("over", call=f"{call:016x}")
         release = DeskMessage(binary.RELEASE, call, cause=16)
-        if held.peer.stream.open:
-            held.peer.say(release)
-        else:
-            # Whose the other connections are can't be told: all get it, and those that open soon after.
-            self.told_late = [(t, m) for t, m in self.told_late if self.loop.now - t < LATE_NS]
-            self.told_late.append((self.loop.now, release))
-            for peer in list(self.peers):
-                peer.say(release)
+        # Also on connections that open soon after: the one of its set-up may be broken, and not known to be.
+        self.told_late = [(t, m) for t, m in self.told_late if self.loop.now - t < LATE_NS]
+        self.told_late.append((self.loop.now, release))
+        # Whose the other connections are can't be told: all get it where that of the set-up is gone.
+        for peer in [held.peer] if held.peer.stream.open else list(self.peers):
+            peer.say(release)
         self._free(call)
 
     def _free(self, call: int) -> None:
@@ -200,23 +228,18 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--set-up-ms", type=float, default=40.0)
     parser.add_argument("--hold-ms", type=float, default=1500.0)
+    parser.add_argument("--name", default="desk", help="stands in the descriptions of its answers")
+    parser.add_argument("--class-hold", action="append", default=[], help="NAME=MS, for calls of that class")
     parser.add_argument("--fault", type=fault_of, action="append", default=[])
     g = parser.parse_args()
     loop, ledger = Loop(), Ledger(g.ledger)
-    StandInExchange(loop, g.listen, ledger, g.circuits, g.seed, g.set_up_ms, g.hold_ms, tuple(g.fault))
+    holds = {name: float(ms) for name, ms in (text.split("=") for text in g.class_hold)}
+    exchange = StandInExchange(
+        loop, g.listen, ledger, g.circuits, g.seed, g.set_up_ms, g.hold_ms, tuple(g.fault), holds, g.name
+    )
+    read_commands(loop, exchange.command)
     run_until_told(loop, ledger)
 
 
-def run_until_told(loop: Loop, ledger: Ledger) -> None:
-    """Turn the loop until SIGTERM; the ledger is written after each turn."""
-    told: list[int] = []
-    signal.signal(signal.SIGTERM, lambda number, _: told.append(number))
-    ledger.flush()
-    while not told:
-        loop.deadlines.at(loop.now + 50 * MS, lambda: None)
-        loop.turn()
-        ledger.flush()
-
-
 if __name__ == "__main__":
     main()
--- a/arrowrail/lab/proxy.py
+++ b/arrowrail/lab/proxy.py
@@ -15,22 +15,23 @@
 Bytes that were held are passed on when the route is put back to ``pass``, as TCP does once a link is mended;
 with ``"forget": true`` the connections of before stay silent for good, as after the machine was replaced.
 ``reset`` is no mode: it resets the open connections of a route once.
+
+What passes is written down as well, where the route's name says what is spoken there: ``NAME/binary`` for
+set-ups, answers and releases, ``NAME/discovery`` for the numbers of events.  It is written when the program,
+which is the client of all routes, has written it or is handed it: that is what the program can know.
 """
 
 from __future__ import annotations
 
 import argparse
-import os
-import signal
 import socket
 import struct
-import sys
 from dataclasses import dataclass
+from typing import Any
 
-import orjson
-
-from arrowrail.core import MS
+from arrowrail.lab.commands import read_commands, run_until_told
 from arrowrail.lab.ledger import Ledger
+from arrowrail.lab.observers import Observer, observer_of
 from arrowrail.loop import READ, WRITE, Loop
 from arrowrail.state.address import parse_address
 
@@ -65,7 +66,8 @@
         if self.connecting or (self.held and may_write):
             mask |= WRITE
         room = len(self.other.held) < HELD_LIMIT
-        if not self.connecting and not self.read_ended and room and not self.pair.forgotten:
+        gone = self.pair.forgotten and self.name == UPSTREAM
+        if not self.connecting and not self.read_ended and room and not gone:
             mask |= READ
         if mask:
             self.pair.route.proxy.loop.watch(self.sock, mask, self.ready)
@@ -78,10 +80,14 @@
                 self._come_up()
             elif mask & READ:
                 self._read()
+                self.other.flush()
             if not self.connecting:
                 self.flush()
         except OSError:
-            self.pair.reset()
+            if self.name == UPSTREAM and not self.pair.passes(CLIENT):
+                self.pair.upstream_lost()
+            else:
+                self.pair.reset()
             return
         self.pair.watch()
 
@@ -95,8 +101,12 @@
         data = self.sock.recv(CHUNK)
         if data:
             self.other.held += data
+            if self.name == CLIENT:
+                self.pair.observer.from_client(data)
         else:
             self.read_ended = True
+            if self.name == CLIENT:
+                self.pair.observer.ended("client")
 
     def flush(self) -> None:
         """Write what is held, and pass the end of the stream on behind it."""
@@ -107,6 +117,8 @@
                 sent = self.sock.send(self.held)
             except BlockingIOError:
                 return
+            if self.name == CLIENT:
+                self.pair.observer.to_client(bytes(self.held[:sent]))
             del self.held[:sent]
         if self.other.read_ended and not self.write_ended:
             self.write_ended = True
@@ -119,6 +131,7 @@
     def __init__(self, route: Route, sock: socket.socket) -> None:
         self.route = route
         self.forgotten = False  # it stays open and silent for good
+        self.observer: Observer = observer_of(route.spoken, route.proxy.ledger, route.name)
         upstream = socket.socket()
         upstream.setblocking(False)
         self.client = Side(self, sock, CLIENT, False)
@@ -148,8 +161,14 @@
             self.reset()
         self.watch()
 
+    def upstream_lost(self) -> None:
+        """The party behind a route out of reach has ended: the client can't see it, and never hears of it."""
+        self.forgotten = True
+        self.route.proxy.loop.unwatch(self.upstream.sock)
+
     def reset(self) -> None:
         """End it as a broken connection: both sides see a reset."""
+        self.observer.ended("reset")
         for side in (self.client, self.upstream):
             side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.close()
@@ -166,6 +185,7 @@
     """Where a route listens and where it leads."""
 
     name: str
+    spoken: str  # what is written down of what passes: "binary", "discovery" or nothing
     listen: tuple[str, int]
     upstream: tuple[str, int]
 
@@ -174,7 +194,7 @@
     """One listening address, the party behind it, and the fault that is played between them."""
 
     def __init__(self, proxy: Proxy, address: Address) -> None:
-        self.proxy, self.name = proxy, address.name
+        self.proxy, self.name, self.spoken = proxy, address.name, address.spoken
         self.listen, self.upstream = address.listen, address.upstream
         self.mode, self.held_toward = "pass", UPSTREAM
         self.pairs: dict[Pair, None] = {}
@@ -194,7 +214,7 @@
                 sock, _address = self.listener.accept()
             except OSError:
                 return
-            Pair(self, sock)
+            Pair(self, sock)  # the loop holds on to it
 
     def set_mode(self, mode: str, held_toward: str = UPSTREAM, forget: bool = False) -> None:
         """Play another fault from now on; ``ValueError`` for one that is not known."""
@@ -254,9 +274,8 @@
         self.loop, self.ledger = loop, ledger
         self.routes = {address.name: Route(self, address) for address in addresses}
 
-    def command(self, line: bytes) -> None:
-        """Carry out one line of the standard input."""
-        asked = orjson.loads(line)
+    def command(self, asked: Any) -> None:
+        """Carry out one command."""
         route = self.routes[asked["route"]]
         if asked["do"] == "reset":
             route.reset()
@@ -266,9 +285,10 @@
 
 
 def address_of(text: str) -> Address:
-    """``NAME=HOST:PORT=HOST:PORT`` in parts."""
+    """``NAME=HOST:PORT=HOST:PORT`` in parts, where the name may say what is spoken: ``NAME/binary``."""
     name, listen, upstream = text.split("=")
-    return Address(name, parse_address(listen), parse_address(upstream))
+    name, _, spoken = name.partition("/")
+    return Address(name, spoken, parse_address(listen), parse_address(upstream))
 
 
 def main() -> None:
@@ -279,26 +299,8 @@
     loop, ledger = Loop(), Ledger(given.ledger)
     proxy = Proxy(loop, ledger, given.routes)
     ledger.say("started")
-    ended: list[int] = []
-    signal.signal(signal.SIGTERM, lambda number, _: ended.append(number))
-    rest = bytearray()
-
-    def ready(_mask: int) -> None:
-        data = os.read(0, CHUNK)
-        if not data:
-            loop.unwatch(sys.stdin)
-        rest.extend(data)
-        while b"\n" in rest:
-            line, _, after = bytes(rest).partition(b"\n")
-            rest[:] = after
-            proxy.command(line)
-
-    loop.watch(sys.stdin, READ, ready)
-    ledger.flush()
-    while not ended:
-        loop.deadlines.at(loop.now + 50 * MS, lambda: None)
-        loop.turn()
-        ledger.flush()
+    read_commands(loop, proxy.command)
+    run_until_told(loop, ledger)
 
 
 if __name__ == "__main__":
--- a/arrowrail/lab/relay.py
+++ b/arrowrail/lab/relay.py
@@ -10,14 +10,12 @@
 import argparse
 import os
 import random
-import signal
 import socket
-import sys
 from functools import partial
+from typing import Any
 
-import orjson
-
-from arrowrail.core import MS
+from arrowrail.lab.commands import read_commands, run_until_told
+from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import READ, Loop
 
 
@@ -46,8 +44,7 @@
             if self.random.random() >= self.loss:
                 sock.sendto(data, ("127.0.0.1", back))
 
-    def told(self, line: bytes) -> None:
-        what = orjson.loads(line)
+    def command(self, what: Any) -> None:
         self.cut = set(what.get("cut", ()))
         self.both = bool(what.get("both", True))
 
@@ -61,20 +58,8 @@
     routes = [(n, int(front), int(back)) for n, front, back in (r.split("=") for r in g.routes)]
     loop = Loop()
     relay = Relay(loop, routes, g.loss, g.seed)
-    ended: list[int] = []
-    signal.signal(signal.SIGTERM, lambda number, _: ended.append(number))
-
-    def ready(_mask: int) -> None:
-        data = os.read(0, 65536)
-        if not data:
-            loop.unwatch(sys.stdin)
-        for line in data.splitlines():
-            relay.told(line)
-
-    loop.watch(sys.stdin, READ, ready)
-    while not ended:
-        loop.deadlines.at(loop.now + 50 * MS, lambda: None)
-        loop.turn()
+    read_commands(loop, relay.command)
+    run_until_told(loop, Ledger(os.devnull))
 
 
 if __name__ == "__main__":
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -43,10 +43,21 @@
 class Link:
     """One connection to a desk exchange, and the set-ups on it that are unanswered."""
 
-    __slots__ = ("desk", "group", "opened_ns", "parser", "retry", "stream", "unfinished", "waiting")
+    __slots__ = (
+        "desk",
+        "greeted",
+        "group",
+        "opened_ns",
+        "parser",
+        "retry",
+        "stream",
+        "unfinished",
+        "waiting",
+    )
 
     def __init__(self, group: Links) -> None:
         self.opened_ns = 0  # when the present connection came up
+        self.greeted = False  # whether anything came on it
         self.group, self.desk = group, group.desk
         self.stream: Stream | None = None
         self.parser = binary.BinaryParser()
@@ -73,13 +84,17 @@
         self.retry.within(self.group.back.connect_timeout_ns, self.stream)
 
     def connected(self) -> None:
-        self.opened_ns = self.group.back.loop.now
+        self.opened_ns, self.greeted = self.group.back.loop.now, False
         self.group.monitor.connected(self.opened_ns)
         self.retry.succeeded()
         self.group.pay(self)
 
     def received(self, data: bytes) -> None:
-        self.group.monitor.heard(self.group.back.loop.now, self.opened_ns)
+        now, monitor = self.group.back.loop.now, self.group.monitor
+        monitor.heard(now, self.opened_ns)
+        if not self.greeted:
+            self.greeted = True
+            monitor.greeted(now, self.opened_ns)
         try:
             found = self.parser.feed(data)
             for message in found:
@@ -144,7 +159,8 @@
         stream, link.stream = link.stream, None
         if stream is None:
             return
-        self.stream, self.parser, self.opened_ns = stream, link.parser, link.opened_ns
+        self.stream, self.parser = stream, link.parser
+        self.opened_ns, self.greeted = link.opened_ns, link.greeted
         stream.owner = self
         link.unfinished.cancel()
         stream.finish_reading()
@@ -176,6 +192,8 @@
 
     def _done(self) -> None:
         self.unfinished.cancel()
+        if not self.greeted:
+            self.group.monitor.mute(self.group.back.loop.now)
         if self.stream is not None:
             self.stream.finish_reading()
 
@@ -307,8 +325,13 @@
             link.stream.send(data, tag)
 
     def close(self) -> None:
+        """Close all connections; what was written last still goes out, and nothing more is asked of them."""
         for link in self.links:
-            link.close()
+            if link.up and link.stream is not None and not link.waiting:
+                link.retry.cancel()
+                ReadOnlyLink(self).take_over(link)
+            else:
+                link.close()
         check, self.check = self.check, None
         if check is not None:
             check.close()
