--- a/arrowrail/cli/drill.py
+++ b/arrowrail/cli/drill.py
@@ -16,12 +16,24 @@
     instances: Annotated[int, typer.Option(help="of the group, in the drill duties")] = 5,
     short: Annotated[bool, typer.Option("--short", help="a shorter play of the same cases")] = False,
     keep: Annotated[Path | None, typer.Option(help="an empty folder that keeps ledgers and logs")] = None,
+    seeds: Annotated[str, typer.Option(help="of the drill soak: A..B, one trial each")] = "",
+    seconds: Annotated[float, typer.Option(min=8.0, max=120.0, help="of faults, in the drill soak")] = 16.0,
+    plan: Annotated[bool, typer.Option("--plan", help="print the plan of a soak, and play nothing")] = False,
+    without: Annotated[str, typer.Option(help="faults of a soak to leave out, as 3,5")] = "",
+    trace: Annotated[str, typer.Option(help="the id of a call whose whole life is printed")] = "",
 ) -> None:
     """Play a drill; exit 0 where no rule was broken, 1 where one was."""
     import orjson
 
     from arrowrail.lab.drills import NAMES, load
 
+    if name == "soak":
+        from arrowrail.cli.soak import SoakRequest, faults_of, seeds_of, soak
+
+        asked = SoakRequest(
+            seeds_of(seeds or str(seed)), seconds, faults_of(without), plan, as_json, trace, keep
+        )
+        raise typer.Exit(0 if soak(asked) else 1)
     if name == "list":
         for known, what in NAMES.items():
             typer.echo(f"{known}: {what}")
--- a/arrowrail/lab/processes.py
+++ b/arrowrail/lab/processes.py
@@ -2,27 +2,59 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from types import TracebackType
+from typing import TextIO
 
 ROOT = Path(__file__).resolve().parents[2]
 WAIT_S = 20.0
 
 
+# Below the ports that the kernel gives to outgoing connections: a stand-in that closes its port for a while,
+# as a server that refuses, must find it free again.
+FIRST_PORT, LAST_PORT, BLOCK = 12_000, 32_000, 100
+_blocks: list[TextIO] = []  # lock files of the blocks of ports that this process holds
+_ports: list[int] = []  # of those blocks, not handed out yet
+
+
 def free_ports(count: int) -> list[int]:
-    """Ports that were free a moment ago, all at once, so that they differ."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in socks]
-    for s in socks:
-        s.close()
-    return ports
+    """Ports that nobody listens on, and that no other process of the lab is given meanwhile."""
+    found: list[int] = []
+    while len(found) < count:
+        if not _ports:
+            _ports.extend(_hold_block())
+        port = _ports.pop(0)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            found.append(port)
+    return found
+
+
+def _hold_block() -> range:
+    """Lock a block of ports until this process ends."""
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        path = Path(tempfile.gettempdir()) / f"arrowrail-ports-{first}.lock"
+        lock = open(path, "a", encoding="utf-8")  # noqa: SIM115 - held for the process's life
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _blocks.append(lock)
+        return range(first, first + BLOCK)
+    raise RuntimeError("no block of ports is free")
 
 
 def until(holds: Callable[[], bool], what: str, wait_s: float = WAIT_S) -> None:
--- a/arrowrail/lab/soak/plan.py
+++ b/arrowrail/lab/soak/plan.py
@@ -29,6 +29,13 @@
 CONTROLLER_FAULTS = ("restart", "kill")
 CALLER_FAULTS = ("crowd", "rude")
 WEIGHTS = {"vanish_for_good": 2, "replace": 2, "drain": 2, "die": 2, "restart": 3, "reset": 2}
+# Faults that are worst together: the second begins while the first lasts.
+TOGETHER = (
+    ("discovery_vanish", "vanish_for_good"), ("discovery_refuse", "drain"), ("discovery_hang", "replace"),
+    ("discovery_refuse", "die"), ("hang", "restart"), ("silent", "restart"),
+)  # fmt: skip
+TOGETHER_S = (4.0, 9.0)  # how long the first lasts
+FOLLOWS_S = (0.3, 1.5)  # how long after it the second begins
 ONCE = ("vanish_for_good", "die", "drain", "replace", "restart", "kill")  # at most once for each target
 
 
@@ -96,7 +103,7 @@
     """The plan of a seed."""
     source = random.Random(seed)
     controllers, servers = source.choice((1, 1, 2)), source.randint(2, 4)
-    deadline_ms = source.choice((700, 1150, 2000, 3000, 9000))
+    deadline_ms = source.choice((700, 1150, 2000, 3000, 9000, 9000))
     classes = (
         CallClassPlan("status-report", deadline_ms, max(300, deadline_ms // 3), source.choice((1500, 4000))),
         CallClassPlan(
@@ -113,31 +120,39 @@
 
 
 def _draw_faults(source: random.Random, plan: Plan) -> tuple[Fault, ...]:
-    """Six to ten faults, several of them at a time; one server at least is left alone."""
-    kinds = [*SERVER_FAULTS, *DISCOVERY_FAULTS, *CONTROLLER_FAULTS, *CALLER_FAULTS]
-    weights = [WEIGHTS.get(kind, 1) for kind in kinds]
+    """Two that are worst together, and four to eight more; one server at least is left alone."""
     spared = source.choice(server_names(plan.servers))
     targets = [name for name in server_names(plan.servers) if name != spared]
-    used: set[tuple[str, str]] = set()
-    found: list[Fault] = []
-    for number in range(1, source.randint(6, 10) + 1):
-        kind = source.choices(kinds, weights)[0]
-        if kind in SERVER_FAULTS:
-            target = source.choice(targets)
-        elif kind in DISCOVERY_FAULTS:
-            target = DISCOVERY
-        else:
-            target = source.choice(controller_names(plan.controllers))
+    first, second = source.choice(TOGETHER)
+    at = source.uniform(FIRST_FAULT_S, plan.seconds / 2)
+    drawn = [
+        (first, at, source.uniform(*TOGETHER_S)),
+        (second, at + source.uniform(*FOLLOWS_S), source.uniform(0.5, LONGEST_FAULT_S)),
+    ]
+    kinds = [*SERVER_FAULTS, *DISCOVERY_FAULTS, *CONTROLLER_FAULTS, *CALLER_FAULTS]
+    weights = [WEIGHTS.get(kind, 1) for kind in kinds]
+    for kind in source.choices(kinds, weights, k=source.randint(4, 8)):
         at = source.uniform(FIRST_FAULT_S, plan.seconds - 2.0)
-        length = source.uniform(0.5, LONGEST_FAULT_S)
+        drawn.append((kind, at, source.uniform(0.5, LONGEST_FAULT_S)))
+    ended: set[str] = set()
+    found: list[Fault] = []
+    for number, (kind, at, length) in enumerate(drawn, 1):
+        target = _target(source, plan, kind, targets)
         detail = _detail(source, kind)
-        # What ends a server, or a controller, for good happens to it once, and nothing else of that kind.
-        ends = "end" if kind in ONCE else kind
-        if (ends, target) in used and kind in ONCE:
-            continue
-        used.add((ends, target))
+        if kind in ONCE and target in ended:
+            continue  # what ends a server, or a controller, happens to it once
+        if kind in ONCE:
+            ended.add(target)
         found.append(Fault(number, kind, target, round(at, 3), round(length, 3), detail))
-    return tuple(sorted(found, key=lambda f: f.at_s))
+    return tuple(sorted(found, key=lambda fault: fault.at_s))
+
+
+def _target(source: random.Random, plan: Plan, kind: str, servers: list[str]) -> str:
+    if kind in SERVER_FAULTS:
+        return source.choice(servers)
+    if kind in DISCOVERY_FAULTS:
+        return DISCOVERY
+    return source.choice(controller_names(plan.controllers))
 
 
 def _detail(source: random.Random, kind: str) -> str:
--- a/arrowrail/lab/soak/player.py
+++ b/arrowrail/lab/soak/player.py
@@ -56,6 +56,11 @@
     return f"{server}-r"
 
 
+def _ports_needed(plan: Plan) -> int:
+    servers = 2 * plan.servers  # each may have a successor
+    return servers + plan.controllers * (servers + 4)  # and a controller, its discovery and two routes to it
+
+
 class Player:
     """One trial."""
 
@@ -67,7 +72,7 @@
         self._order = itertools.count()
         self.began = 0.0
         self.dead_servers: set[str] = set()
-        self._ports = iter(free_ports(200))
+        self._ports = iter(free_ports(_ports_needed(plan)))
         names = server_names(plan.servers)
         self.server_ports = {name: next(self._ports) for name in (*names, *map(successor, names))}
         self.routes: list[str] = []
--- a/tests/incidents/test_b85302.py
+++ b/tests/incidents/test_b85302.py
@@ -69,6 +69,15 @@
         assert releases(caller, set(lost), died).keys() == set(lost)
 
 
+def test_callers_are_told_when_the_end_of_their_calls_falls_into_a_hang(tmp_path: Path) -> None:
+    with world(tmp_path, hold_ms=2000) as trial:  # calls end 1 to 3 s after they are answered
+        caller = Caller(trial.controller)
+        over = trial.stand(caller, 1, 5, exchange=1)
+        assert len(over) >= 3
+        hung = trial.fault("s1", "hang")  # connections come up, and nothing is said on them
+        assert releases(caller, set(over), hung).keys() == set(over)
+
+
 def test_calls_outlive_an_outage_of_the_link_that_is_mended_in_time(tmp_path: Path) -> None:
     with world(tmp_path) as trial:
         caller = Caller(trial.controller)
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -318,6 +318,7 @@
         fresh = target("d2", desk.address, 1, boot_ms=int(time.time() * 1000) - 60_000)
         bus.tell(news(2, target("d1", desk.address, 1, "terminated"), fresh))
         assert caller.bye(A).headers["reason"] == "Q.850;cause=41"
+        assert release(peer, A).cause == 41  # the successor may have taken it, before anybody said so
         successor = desk.desk()
         assert peer.closed()
         caller.invite(B)
--- a/tests/world.py
+++ b/tests/world.py
@@ -48,7 +48,9 @@
 
 
 @contextmanager
-def world(folder: Path, exchanges: int = 2, deadline_ms: int = 3000) -> Iterator[World]:
+def world(
+    folder: Path, exchanges: int = 2, deadline_ms: int = 3000, hold_ms: int = HOLD_MS
+) -> Iterator[World]:
     ports = free_ports(2 * exchanges + 1)
     inner, outer, controller = ports[:exchanges], ports[exchanges : 2 * exchanges], ports[-1]
     names = [f"s{n + 1}" for n in range(exchanges)]
@@ -60,7 +62,7 @@
     with Crew(folder) as crew:
         for name, port in zip(names, inner, strict=True):
             crew.start(name, "arrowrail.lab.exchange", "--listen", f"127.0.0.1:{port}",
-                       "--ledger", str(folder / f"{name}.jsonl"), "--hold-ms", str(HOLD_MS))  # fmt: skip
+                       "--ledger", str(folder / f"{name}.jsonl"), "--hold-ms", str(hold_ms))  # fmt: skip
         routes = [
             f"{name}=127.0.0.1:{front}=127.0.0.1:{back}"
             for name, front, back in zip(names, outer, inner, strict=True)
