--- /dev/null
+++ b/arrowrail/wire/desk/connection.py
@@ -0,0 +1,194 @@
+"""One connection to a desk exchange: in use, on its way out, or opened to see whether the server is there."""
+
+from __future__ import annotations
+
+import errno
+from functools import partial
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from arrowrail.core import MS
+from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, GREETING_NS
+from arrowrail.state.directory import TERMINATED
+from arrowrail.telemetry.events import event, reason_of
+from arrowrail.wire.desk import binary
+from arrowrail.wire.reconnect import Reconnect
+from arrowrail.wire.stream import Stream, connect
+from arrowrail.wire.unfinished import Unfinished
+
+if TYPE_CHECKING:
+    from arrowrail.wire.desk.pool import ConnectionPool
+
+RELEASE_TAG = "release"  # names releases among the messages of a connection; no call's id looks like it
+UNFINISHED_NS = 500 * MS  # a message has 16 KiB at most: the rest of one is there within two round trips
+
+
+class ServerConnection:
+    """One connection to a desk exchange, and the set-ups on it that are unanswered."""
+
+    __slots__ = (
+        "desk",
+        "greeted",
+        "opened_ns",
+        "parser",
+        "pool",
+        "retry",
+        "stream",
+        "unfinished",
+        "waiting",
+    )
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.opened_ns = 0  # when the present connection came up
+        self.greeted = False  # whether anything came on it
+        self.pool, self.desk = pool, pool.desk
+        self.stream: Stream | None = None
+        self.parser = binary.BinaryParser()
+        self.waiting: dict[str, bytes] = {}  # unanswered set-ups by call, queued or sent
+        self.retry = Reconnect(pool.back.loop, self.open)
+        self.unfinished = Unfinished(pool.back.loop, UNFINISHED_NS, self._stalled)
+
+    @property
+    def up(self) -> bool:
+        return self.stream is not None and not self.stream.connecting
+
+    def open(self) -> None:
+        if self.stream is not None or not self.pool.in_use:
+            return
+        self.retry.cancel()
+        self.parser = binary.BinaryParser()
+        try:
+            self.stream = connect(self.pool.back.loop, self, self.desk.told.endpoint)
+        except (OSError, ValueError) as why:  # no descriptor left, or no address
+            logger.warning("no connection to {}: {}", self.desk.told.uid, why)
+            error = why if isinstance(why, OSError) else OSError(errno.EINVAL, str(why))
+            self.pool.back.loop.deadlines.at(self.pool.back.loop.now, partial(self.lost, error))
+            return
+        self.retry.within(self.pool.back.connect_timeout_ns, self.stream)
+
+    def connected(self) -> None:
+        self.opened_ns, self.greeted = self.pool.back.loop.now, False
+        self.pool.monitor.connected(self.opened_ns)
+        self.retry.succeeded()
+        self.pool.flush_releases(self)
+
+    def received(self, data: bytes) -> None:
+        now, monitor = self.pool.back.loop.now, self.pool.monitor
+        monitor.heard(now, self.opened_ns)
+        if not self.greeted:
+            self.greeted = True
+            monitor.greeted(now, self.opened_ns)
+        try:
+            found = self.parser.feed(data)
+            for message in found:
+                self.pool.back.message(self, message)
+            self.unfinished.heard(self.parser.pending, bool(found))
+        except binary.BinaryError as wrong:
+            self._unreadable(str(wrong))
+
+    def _stalled(self) -> None:
+        # Guards against a message that claims to be longer than it is: all that follows, answers and releases
+        # of other calls too, would be swallowed as its rest for as long as the connection stays open.
+        self._unreadable(f"stopped in the middle of a message: {self.parser.head}")
+
+    def _unreadable(self, why: str) -> None:
+        self.pool.back.report_unreadable(self.desk, why)
+        if self.stream is not None:
+            self.stream.fail(OSError(errno.EPROTO, why))
+
+    def lost(self, why: OSError | None) -> None:
+        stream, self.stream = self.stream, None
+        self.unfinished.cancel()
+        waiting, self.waiting = self.waiting, {}
+        self._log_loss(stream is not None and not stream.connecting, why, len(waiting))
+        if stream is not None:
+            # Guards against a call that its caller ended standing on beyond a broken connection.
+            self.pool.queue_releases(*stream.left(RELEASE_TAG))
+        if self.desk.told.state != TERMINATED:
+            self.retry.failed()
+            self.pool.connection_failed(why)
+        never_up = stream is None or stream.connecting
+        for call, data in waiting.items():
+            unsent = stream is None or never_up or stream.unsent(call)
+            self.pool.interrupted(call, data, never_up, unsent)
+
+    def _log_loss(self, was_up: bool, why: OSError | None, waiting: int) -> None:
+        name = "server.connection_lost" if was_up else "server.connect_failed"
+        self.pool.back.core.metrics.count(name, reason_of(why))
+        event(name, "{server}: {reason}, {waiting} unanswered set-ups on the connection", level="DEBUG",
+              server=self.desk.told.uid, reason=reason_of(why), waiting=waiting)  # fmt: skip
+
+    def send_set_up(self, call: str, data: bytes) -> None:
+        self.waiting[call] = data
+        self.open()
+        if self.stream is not None:
+            self.stream.send(data, call)
+
+    def close(self) -> None:
+        self.retry.cancel()
+        self.unfinished.cancel()
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.close()
+
+
+class ClosingConnection(ServerConnection):
+    """Takes over a connection that is no longer used: half-closed, and read until the server closes it."""
+
+    __slots__ = ()
+
+    def take_over(self, connection: ServerConnection) -> None:
+        stream, connection.stream = connection.stream, None
+        if stream is None:
+            return
+        self.stream, self.parser = stream, connection.parser
+        self.opened_ns, self.greeted = connection.opened_ns, connection.greeted
+        stream.owner = self
+        connection.unfinished.cancel()
+        stream.finish_reading()
+
+    def lost(self, why: OSError | None) -> None:
+        self.stream = None
+        self.unfinished.cancel()
+
+
+class ReachabilityCheck(ServerConnection):
+    """One more connection, tried while calls stand and the server says nothing: does it still come up?
+
+    It carries no set-ups.  Once it is up it is read for a while, since a server may send on it what it still
+    has to tell, and then closed in good order.
+    """
+
+    __slots__ = ()
+
+    def open(self) -> None:
+        super().open()
+        if self.stream is not None:
+            self.retry.cancel()
+            self.retry.within(CHECK_TIMEOUT_NS, self.stream)
+
+    def connected(self) -> None:
+        super().connected()
+        loop = self.pool.back.loop
+        loop.deadlines.at(loop.now + GREETING_NS, self._done)
+
+    def _done(self) -> None:
+        self.unfinished.cancel()
+        if self.stream is None:
+            return
+        if not self.greeted:
+            self.pool.monitor.mute(self.pool.back.loop.now)
+        self.stream.finish_reading()
+
+    def lost(self, why: OSError | None) -> None:
+        was_up, was_left = self.up, self.stream is not None and self.stream.finishing
+        self.stream = None
+        self.unfinished.cancel()
+        self.retry.cancel()
+        self._log_loss(was_up, why, 0)
+        self.pool.check = None
+        if not was_up:
+            self.pool.check_failed(why)
+        elif not self.greeted and not was_left:
+            self.pool.monitor.full(self.pool.back.loop.now)  # it took the connection, and ended it
--- /dev/null
+++ b/arrowrail/wire/desk/pool.py
@@ -0,0 +1,161 @@
+"""The connections to one desk exchange, what waits for them, and whether the server behind them is there."""
+
+from __future__ import annotations
+
+import errno
+from typing import TYPE_CHECKING
+
+from arrowrail.core import LINK_BROKE, Q850_NORMAL
+from arrowrail.failure_detection.endpoint import EndpointMonitor
+from arrowrail.state.directory import IN_SERVICE, TERMINATING, Desk
+from arrowrail.wire.desk import binary
+from arrowrail.wire.desk.binary import DeskMessage
+from arrowrail.wire.desk.connection import (
+    RELEASE_TAG,
+    ClosingConnection,
+    ReachabilityCheck,
+    ServerConnection,
+)
+
+if TYPE_CHECKING:
+    from arrowrail.wire.desk.back import DeskBack
+
+MOST_PENDING = 200  # releases that wait for a connection, and set-ups given up lately, of one server
+
+
+class ConnectionPool:
+    """The connections to one desk exchange.
+
+    A connection that breaks, or brings something spoilt, takes all unanswered set-ups on it along: over a
+    few connections they are fewer, and what is owed to the exchange goes out on another one at once.
+    """
+
+    def __init__(self, back: DeskBack, desk: Desk, size: int) -> None:
+        self.back, self.desk = back, desk
+        self.monitor = EndpointMonitor(back.loop.now)
+        self.check: ReachabilityCheck | None = None
+        self.pending_releases: list[bytes] = []  # releases that found no connection
+        # Where set-ups were that no longer wait, the latest of them.
+        self.given_up: dict[str, ServerConnection] = {}
+        self.connections = [ServerConnection(self) for _ in range(size)]
+
+    def open(self) -> None:
+        for connection in self.connections:
+            connection.open()
+
+    def least_loaded(self, call: str = "") -> ServerConnection:
+        """The one with the fewest set-ups to lose, of those that are up.
+
+        Guards a call that goes the same way again: on another connection than before, a late answer to the
+        first set-up can't be taken for one to the second.
+        """
+        before = self.given_up.get(call)
+        return min(
+            self.connections,
+            key=lambda connection: (
+                not connection.up,
+                connection.stream is None,
+                connection is before,
+                len(connection.waiting),
+            ),
+        )
+
+    def holding(self, call: str) -> ServerConnection | None:
+        return next((connection for connection in self.connections if call in connection.waiting), None)
+
+    def interrupted(self, call: str, data: bytes, never_up: bool, unsent: bool) -> None:
+        """The connection that a set-up was on has broken, before its answer, or never came up."""
+        other = self.least_loaded()
+        if unsent and other.up and self.desk.told.state == IN_SERVICE:
+            other.send_set_up(call, data)  # nobody has seen it: it goes on elsewhere as the same attempt
+            return
+        if not unsent:
+            # Guards against a set-up that ran all the same, its answer spoilt, holding circuits for nobody.
+            self.send(DeskMessage(binary.RELEASE, int(call, 16), cause=Q850_NORMAL), RELEASE_TAG)
+        outcome = "no_connection" if unsent else "connection_lost"
+        # That a connection broke says nothing of the processor behind it; that none comes up does.
+        self.back.core.attempt_failed(self.desk, call, outcome, 0 if never_up else LINK_BROKE)
+
+    @property
+    def in_use(self) -> bool:
+        """Whether connections are wanted: a server that drains keeps its own while anything is left on it."""
+        state = self.desk.told.state
+        if state == TERMINATING:
+            left = self.pending_releases or any(connection.waiting for connection in self.connections)
+            return bool(left or self.back.core.standing[self.desk.office])
+        return state == IN_SERVICE
+
+    def _close_drained(self) -> None:
+        """Close connections on which nothing is left; what still comes on them is read until the peer
+        closes."""
+        for connection in self.connections:
+            connection.retry.cancel()
+            if connection.stream is not None and connection.stream.connecting:
+                connection.stream.fail(None)
+            elif connection.stream is not None and connection.stream.flushed:
+                ClosingConnection(self).take_over(connection)
+
+    def connection_failed(self, why: OSError | None) -> None:
+        """A connection broke or never came up; refused while no other is up, its process has died."""
+        if why is None or why.errno != errno.ECONNREFUSED:
+            return
+        if any(connection.up for connection in self.connections):
+            self.monitor.full(self.back.loop.now)
+        else:
+            self.monitor.refused(self.back.loop.now)
+            self.check_server()
+
+    def check_failed(self, why: OSError | None) -> None:
+        if why is not None and why.errno == errno.ETIMEDOUT:
+            self.monitor.check_failed(self.back.loop.now)
+        else:
+            self.connection_failed(why)
+
+    def check_server(self) -> None:
+        """Give up calls whose server is gone; where calls stand in silence, try whether it is still there."""
+        now, core = self.back.loop.now, self.back.core
+        loss = self.monitor.loss(now)
+        if loss is not None:
+            core.server_lost(self.desk, loss.reason, loss.before_ns)
+        elif not self.in_use:
+            self._close_drained()
+        elif self.check is None and core.standing[self.desk.office] and self.monitor.check_due(now):
+            core.metrics.count("server.checked")
+            self.check = ReachabilityCheck(self)
+            self.check.open()
+
+    def queue_releases(self, *messages: bytes) -> None:
+        self.pending_releases = [*self.pending_releases, *messages][-MOST_PENDING:]
+        connection = self.least_loaded()
+        if connection.up:
+            self.flush_releases(connection)
+
+    def flush_releases(self, connection: ServerConnection) -> None:
+        pending, self.pending_releases = self.pending_releases, []
+        for data in pending:
+            if connection.stream is not None:
+                connection.stream.send(data, RELEASE_TAG)
+
+    def send(self, message: DeskMessage, tag: str | None = None) -> None:
+        connection, data = self.least_loaded(), binary.encode(message)
+        if connection.stream is None and tag == RELEASE_TAG:
+            self.pending_releases = [*self.pending_releases, data][
+                -MOST_PENDING:
+            ]  # paid once a connection is up
+            connection.open()
+            return
+        connection.open()
+        if connection.stream is not None:
+            connection.stream.send(data, tag)
+
+    def close(self) -> None:
+        """Close all connections; what was written last still goes out, and nothing more is asked of them."""
+        for connection in self.connections:
+            if connection.up and connection.stream is not None and not connection.waiting:
+                connection.retry.cancel()
+                ClosingConnection(self).take_over(connection)
+            else:
+                connection.close()
+        check, self.check = self.check, None
+        if check is not None:
+            check.close()
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -234,7 +234,7 @@
         desk.sock.close()
         peer.reset()
         back: Any = run.core.backs["binary"]
-        run.until(lambda: back.desks[1].links[0].stream is None)
+        run.until(lambda: back.pools[1].connections[0].stream is None)
         caller.send("BYE", A)
         assert caller.answer(A, "BYE").status == 200
         again = socket.create_server(("127.0.0.1", desk.port))
@@ -270,7 +270,7 @@
             before = len(run.core.by_call) + len(run.core.ended)
             caller.invite(call, body=b"x" * 15000)
             run.until(lambda before=before: len(run.core.by_call) + len(run.core.ended) > before)  # type: ignore[misc]
-            queued = run.look(lambda: [c for c in calls if back.desks[1].links[0].stream.unsent(c)])
+            queued = run.look(lambda: [c for c in calls if back.pools[1].connections[0].stream.unsent(c)])
             if len(queued) >= 2:
                 break
         assert len(queued) >= 2
@@ -292,7 +292,7 @@
         caller = Caller(run.port)
         run.until(lambda: len(run.core.module.in_service) == 1)
         back: Any = run.core.backs["binary"]
-        link = back.desks[1].links[0]
+        link = back.pools[1].connections[0]
         run.until(lambda: link.stream is not None and not link.stream.connecting)
         link.stream.connecting = True  # as if the connection were still coming up
         caller.invite(A)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,8 +15,8 @@
 from arrowrail.state.slots import SlotTable
 from arrowrail.wire.bus import messages as bus
 from arrowrail.wire.desk import binary
-from arrowrail.wire.desk.back import read_release
 from arrowrail.wire.desk.binary import BinaryError, DeskMessage
+from arrowrail.wire.desk.outcomes import read_release
 from arrowrail.wire.etcd import messages as etcd
 from arrowrail.wire.m3ua import causes, isup
 from arrowrail.wire.m3ua import messages as m3ua
