--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -16,7 +16,7 @@
 
 from arrowrail.shutdown.plan import ShutdownPlan
 from arrowrail.state.deadlines import Deadline, Deadlines
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk, Directory, Told
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
 from arrowrail.state.slots import SlotTable
 from arrowrail.telemetry.events import call_event, event, some_ids
 from arrowrail.telemetry.metrics import Metrics
@@ -77,7 +77,7 @@
 @dataclass(slots=True)
 class Attempt:
     number: int
-    desk: Desk
+    desk: Endpoint
     sent_ns: int
     timer: Deadline | None = None
 
@@ -111,14 +111,14 @@
 
 
 class Back(Protocol):
-    def changed(self, desk: Desk) -> None:
+    def changed(self, desk: Endpoint) -> None:
         """News of the list: open, withdraw what is still queued, or close."""
 
-    def set_up(self, desk: Desk, offer: Offer, wait_ns: int) -> None: ...
-    def give_up(self, desk: Desk, call: str) -> None:
+    def set_up(self, desk: Endpoint, offer: Offer, wait_ns: int) -> None: ...
+    def give_up(self, desk: Endpoint, call: str) -> None:
         """Take the set-up back if it is still queued, else tell the desk exchange."""
 
-    def release(self, desk: Desk, call: str, cause: int) -> None: ...
+    def release(self, desk: Endpoint, call: str, cause: int) -> None: ...
 
 
 NO_ROUTE, OVER_LIMIT = "no_route", "over_limit"  # outcomes of set-ups that the door turns away
@@ -138,11 +138,13 @@
         """How long an attempt may go unanswered; 0: until the caller's deadline."""
 
     def carries(self, class_name: str) -> bool: ...
-    def listed(self, source: str, whole: bool, lines: Iterable[Told]) -> tuple[str, bool, list[Told]]:
+    def listed(
+        self, source: str, whole: bool, lines: Iterable[EndpointEntry]
+    ) -> tuple[str, bool, list[EndpointEntry]]:
         """News of the list as it takes effect here."""
 
-    def told(self, desks: Iterable[Desk]) -> list[i.PoolNews]: ...
-    def attempt_over(self, now: int, desk: Desk, outcome: str, cause: int) -> list[i.PoolNews]: ...
+    def told(self, desks: Iterable[Endpoint]) -> list[i.PoolNews]: ...
+    def attempt_over(self, now: int, desk: Endpoint, outcome: str, cause: int) -> list[i.PoolNews]: ...
 
 
 class Core:
@@ -150,7 +152,7 @@
         self.settings = settings
         self.module = Controller(settings, seed)
         self.deadlines = deadlines
-        self.directory = Directory()
+        self.registry = EndpointRegistry()
         self.requests: SlotTable[Request] = SlotTable()
         self.by_call: dict[str, int] = {}
         self.ended: dict[str, int] = {}  # calls that are over, oldest first, until when they are remembered
@@ -243,7 +245,7 @@
 
     # --- From the backs ---------------------------------------------------------------------------------
 
-    def desk_answered(self, desk: Desk, call: str, description: bytes) -> None:
+    def desk_answered(self, desk: Endpoint, call: str, description: bytes) -> None:
         request = self.find(call)
         attempt = request.out if request is not None else None
         if request is None and call not in self.ended:
@@ -270,7 +272,7 @@
         self.events.append(i.CallStands(call, desk.office, attempt.number, self.now - attempt.sent_ns))
         request.front.answer(request, Answer(STANDS, description))
 
-    def desk_released(self, desk: Desk, call: str, ended: Ended, cause: int) -> None:
+    def desk_released(self, desk: Endpoint, call: str, ended: Ended, cause: int) -> None:
         """The desk exchange refuses the set-up, or ends a call that stood."""
         request = self.find(call)
         if request is None:
@@ -292,14 +294,14 @@
         else:
             self._attempt_over(request, attempt, ended.outcome, ended.cause, False)
 
-    def attempt_failed(self, desk: Desk, call: str, outcome: str, cause: int = 0) -> None:
+    def attempt_failed(self, desk: Endpoint, call: str, outcome: str, cause: int = 0) -> None:
         """The back lost the attempt: never sent, or its connection broke before the answer."""
         request = self.find(call)
         attempt = request.out if request is not None and not request.stands else None
         if request is not None and attempt is not None and attempt.desk is desk:
             self._attempt_over(request, attempt, outcome, cause, False)
 
-    def server_lost(self, desk: Desk, reason: str, before_ns: int = 0) -> None:
+    def server_lost(self, desk: Endpoint, reason: str, before_ns: int = 0) -> None:
         """The server is not there any more: what stood is over, what was out is lost.
 
         With ``before_ns``, only what was sent before that time.  The server is told as well, for where it is
@@ -340,15 +342,15 @@
         request = self.find(call)
         return request.out.sent_ns if request is not None and request.out is not None else 0
 
-    def group_state(self, desk: Desk, free: float, size: float) -> None:
+    def group_state(self, desk: Endpoint, free: float, size: float) -> None:
         self.events.append(i.GroupReport(desk.office, "served", 0, i.Report(free, size, ())))
 
-    def list_news(self, source: str, whole: bool, lines: Iterable[Told]) -> None:
+    def list_news(self, source: str, whole: bool, lines: Iterable[EndpointEntry]) -> None:
         """News of the exchange list, whichever source tells it."""
         if self.door is not None:
             source, whole, lines = self.door.listed(source, whole, lines)
         usable = [told for told in lines if told.back in self.backs]
-        changed = self.directory.apply(self.now, source, whole, usable)
+        changed = self.registry.apply(self.now, source, whole, usable)
         if not changed:
             return
         for desk in changed:
@@ -450,7 +452,7 @@
                 logger.debug("no use for {}", action)
 
     def _set_up(self, call: str, office: int, time_out: int) -> None:
-        request, desk = self.find(call), self.directory.get(office)
+        request, desk = self.find(call), self.registry.get(office)
         why = self._breaks_a_rule(request, desk)
         if why or request is None or desk is None:
             self.defects += 1
@@ -476,7 +478,7 @@
                    attempt=attempt.number, server=desk.told.uid)  # fmt: skip
         self._back(desk).set_up(desk, request.offer, until - self.now)
 
-    def _breaks_a_rule(self, request: Request | None, desk: Desk | None) -> str:
+    def _breaks_a_rule(self, request: Request | None, desk: Endpoint | None) -> str:
         """The last check before anything leaves; the text says which rule it is."""
         if request is None:
             return "the call is over"
@@ -598,5 +600,5 @@
             line = (id(request.front), request.line)
             self.door.settled(self.now, line, request.offer, self.now - request.taken_ns)
 
-    def _back(self, desk: Desk) -> Back:
+    def _back(self, desk: Endpoint) -> Back:
         return self.backs[desk.told.back]
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -28,7 +28,7 @@
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
 from arrowrail.state.deadlines import Deadlines
-from arrowrail.state.directory import Desk
+from arrowrail.state.endpoints import Endpoint
 
 MS, S = 1_000_000, 1_000_000_000
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -96,9 +96,9 @@
     def flushed(self) -> bool:
         return True
 
-    def changed(self, desk: Desk) -> None: ...
-    def give_up(self, desk: Desk, call: str) -> None: ...
-    def set_up(self, desk: Desk, offer: Offer, wait_ns: int) -> None:
+    def changed(self, desk: Endpoint) -> None: ...
+    def give_up(self, desk: Endpoint, call: str) -> None: ...
+    def set_up(self, desk: Endpoint, offer: Offer, wait_ns: int) -> None:
         self.core.deadlines.at(
             self.core.now + MS, lambda: self.core.desk_answered(desk, offer.call, b"answer")
         )
--- a/arrowrail/run/extras.py
+++ b/arrowrail/run/extras.py
@@ -8,7 +8,7 @@
 from arrowrail.core import Core
 from arrowrail.loop import Loop
 from arrowrail.run.config import Config
-from arrowrail.state.directory import IN_SERVICE, Told
+from arrowrail.state.endpoints import IN_SERVICE, EndpointEntry
 from arrowrail.wire.etcd.client import EtcdClient
 from arrowrail.wire.m3ua.back import M3uaBack
 from arrowrail.wire.m3ua.front import M3uaFront
@@ -68,9 +68,9 @@
     )  # fmt: skip
 
 
-def _desks(m: ControllerM3ua) -> list[Told]:
+def _desks(m: ControllerM3ua) -> list[EndpointEntry]:
     return [
-        Told(d.uid, d.address, d.zone, d.exchange, IN_SERVICE, 0, "m3ua", d.point_code, d.circuits)
+        EndpointEntry(d.uid, d.address, d.zone, d.exchange, IN_SERVICE, 0, "m3ua", d.point_code, d.circuits)
         for d in m.desks
     ]
 
--- a/arrowrail/sidecar/compile.py
+++ b/arrowrail/sidecar/compile.py
@@ -14,7 +14,7 @@
 from arrowrail.limits import plan as limits
 from arrowrail.pools import plan as pools
 from arrowrail.pools.plan import fallback_order, route_name
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING
 from trackhatch import interface as i
 
 STATES = {"in_service": IN_SERVICE, "draining": TERMINATING, "gone": TERMINATED}
--- a/arrowrail/sidecar/door.py
+++ b/arrowrail/sidecar/door.py
@@ -10,7 +10,7 @@
 from arrowrail.pools.book import Allowed, Book
 from arrowrail.sidecar.compile import Compiled
 from arrowrail.sidecar.listing import SOURCE, Listing
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Desk, Told
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING, Endpoint, EndpointEntry
 from trackhatch import interface as i
 
 NO_NEWS = ("not_sent", "no_answer", "called_off")  # outcomes that prove nothing of the way to an exchange
@@ -29,7 +29,7 @@
         self._proved: dict[int, int] = {}  # by exchange: when a call of ours last got an answer there
         self._offices: dict[int, dict[int, str]] = {}  # by exchange: the state of each machine there
 
-    def use(self, compiled: Compiled, now: int) -> tuple[list[Told], list[i.PoolNews]]:
+    def use(self, compiled: Compiled, now: int) -> tuple[list[EndpointEntry], list[i.PoolNews]]:
         """A reload: what is open goes on under what it began with; the news is for what comes."""
         self.compiled = compiled
         self.limiter.use(compiled.limits, now)
@@ -63,13 +63,15 @@
         facts = self.compiled.classes.get(offer.class_name)
         return facts.time_out_ns if facts is not None else 0
 
-    def listed(self, source: str, whole: bool, lines: Iterable[Told]) -> tuple[str, bool, list[Told]]:
+    def listed(
+        self, source: str, whole: bool, lines: Iterable[EndpointEntry]
+    ) -> tuple[str, bool, list[EndpointEntry]]:
         """What any source tells takes effect through the listing, in its words."""
         if source == SOURCE:
             return SOURCE, False, list(lines)
         return SOURCE, False, self.listing.heard(whole, lines)
 
-    def told(self, desks: Iterable[Desk]) -> list[i.PoolNews]:
+    def told(self, desks: Iterable[Endpoint]) -> list[i.PoolNews]:
         """An exchange is in use while any machine of it is in service: the old one may drain beside it."""
         changed = set()
         for desk in desks:
@@ -84,7 +86,7 @@
             states.append((exchange, next(s for s in BY_USE if s in known)))
         return _news(self.book.told(states))
 
-    def attempt_over(self, now: int, desk: Desk, outcome: str, cause: int) -> list[i.PoolNews]:
+    def attempt_over(self, now: int, desk: Endpoint, outcome: str, cause: int) -> list[i.PoolNews]:
         if outcome == "no_connection":
             return _news(self.book.missed(now, desk.told.exchange))
         if outcome in NO_NEWS or cause == LINK_BROKE:
--- a/arrowrail/sidecar/listing.py
+++ b/arrowrail/sidecar/listing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 
 from arrowrail.sidecar.compile import Line
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Told
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING, EndpointEntry
 
 RANKS = {IN_SERVICE: 0, TERMINATING: 1, TERMINATED: 2}
 SOURCE = "site"
@@ -36,16 +36,16 @@
     def __init__(self) -> None:
         self._lines: dict[str, Line] = {}
         self._heard: dict[str, Heard] = {}
-        self._shown: dict[str, Told] = {}  # by uid, as it was told last
-        self._leaving: dict[str, Told] = {}  # by uid: no longer named, and not yet empty
+        self._shown: dict[str, EndpointEntry] = {}  # by uid, as it was told last
+        self._leaving: dict[str, EndpointEntry] = {}  # by uid: no longer named, and not yet empty
         self.unknown = 0  # lines of a source that name no exchange of the inventory
 
-    def use(self, lines: Iterable[Line]) -> list[Told]:
+    def use(self, lines: Iterable[Line]) -> list[EndpointEntry]:
         """The inventory, at the start and after a reload; returns the news of it."""
         self._lines = {line.name: line for line in lines}
         return self._news()
 
-    def heard(self, whole: bool, lines: Iterable[Told]) -> list[Told]:
+    def heard(self, whole: bool, lines: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """News of a source; exchanges absent from a whole list drain."""
         named = set()
         for told in lines:
@@ -63,18 +63,18 @@
                     self._heard[name] = Heard(TERMINATING, "", 0)
         return self._news()
 
-    def emptied(self, uids: Iterable[str]) -> list[Told]:
+    def emptied(self, uids: Iterable[str]) -> list[EndpointEntry]:
         """Of those that leave, the ones at which nothing stands any more: gone."""
         over = [self._leaving.pop(uid) for uid in uids if uid in self._leaving]
         return [replace(told, state=TERMINATED) for told in over]
 
     @property
-    def leaving(self) -> Mapping[str, Told]:
+    def leaving(self) -> Mapping[str, EndpointEntry]:
         return self._leaving
 
-    def _news(self) -> list[Told]:
+    def _news(self) -> list[EndpointEntry]:
         now = {told.uid: told for told in map(self._told, self._lines.values())}
-        news: list[Told] = []
+        news: list[EndpointEntry] = []
         for uid, told in self._shown.items():
             if uid not in now and told.state != TERMINATED:
                 self._leaving[uid] = replace(told, state=TERMINATING)
@@ -86,14 +86,14 @@
         self._shown = now
         return news
 
-    def _told(self, line: Line) -> Told:
+    def _told(self, line: Line) -> EndpointEntry:
         heard = self._heard.get(line.name)
         address, state, since = line.address, line.state, 0
         if heard is not None:
             address, since = heard.address or address, heard.since_ns
             if RANKS[heard.state] > RANKS[state]:
                 state = heard.state
-        return Told(
+        return EndpointEntry(
             uid_of(line.name, address), address, line.zone, line.number, state, since, line.signalling,
             line.point_code, line.circuits,
         )  # fmt: skip
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -19,7 +19,7 @@
 from arrowrail.sidecar.compile import Compiled
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
-from arrowrail.state.directory import IN_SERVICE
+from arrowrail.state.endpoints import IN_SERVICE
 from arrowrail.telemetry.events import event
 
 if TYPE_CHECKING:
@@ -102,7 +102,7 @@
         """One probe of an exchange in service, under the fence of its duty's epoch."""
         name = run.duty.removeprefix(PROBE)
         group = self.compiled.group
-        desks = [d for d in self.core.directory.desks.values() if d.told.uid.partition("@")[0] == name]
+        desks = [d for d in self.core.registry.endpoints.values() if d.told.uid.partition("@")[0] == name]
         desk = next((d for d in desks if d.told.state == IN_SERVICE), None)
         if desk is None or group is None:
             return False
--- a/arrowrail/state/directory.py
+++ b/arrowrail/state/endpoints.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
+class EndpointEntry:
     """One line of a source's list: a desk exchange, where it listens and how it is spoken to."""
 
     uid: str
@@ -26,16 +26,16 @@
 
 
 @dataclass(slots=True)
-class Desk:
+class Endpoint:
     """A desk exchange under the number that the decision module knows it by."""
 
     office: int
     source: str
-    told: Told
+    told: EndpointEntry
     drain_told_ns: int = 0  # when this controller was told that it drains or is gone
 
 
-class Directory:
+class EndpointRegistry:
     """Interns uids as office numbers.  A uid is one exchange for life, whatever address it has.
 
     Guards against an address that a new exchange took over: it has another uid, hence another number, and
@@ -43,16 +43,16 @@
     """
 
     def __init__(self) -> None:
-        self.desks: dict[int, Desk] = {}
-        self._offices: dict[str, int] = {}
+        self.endpoints: dict[int, Endpoint] = {}
+        self._ids: dict[str, int] = {}
         self._last = 0
 
-    def get(self, office: int) -> Desk | None:
-        return self.desks.get(office)
+    def get(self, office: int) -> Endpoint | None:
+        return self.endpoints.get(office)
 
-    def apply(self, now: int, source: str, whole: bool, lines: Iterable[Told]) -> list[Desk]:
+    def apply(self, now: int, source: str, whole: bool, lines: Iterable[EndpointEntry]) -> list[Endpoint]:
         """Take news in; returns the exchanges that changed, each once, in the order told."""
-        changed: dict[int, Desk] = {}
+        changed: dict[int, Endpoint] = {}
         named = set()
         for told in lines:
             named.add(told.uid)
@@ -60,7 +60,7 @@
             if desk is not None:
                 changed[desk.office] = desk
         if whole:  # absent from a whole list of its source: gone
-            for desk in list(self.desks.values()):
+            for desk in list(self.endpoints.values()):
                 known = desk.told
                 if desk.source == source and known.uid not in named and known.state != TERMINATED:
                     self._take(now, source, replace(known, state=TERMINATED))
@@ -68,16 +68,16 @@
         self._forget()
         return list(changed.values())
 
-    def _take(self, now: int, source: str, told: Told) -> Desk | None:
-        office = self._offices.get(told.uid)
+    def _take(self, now: int, source: str, told: EndpointEntry) -> Endpoint | None:
+        office = self._ids.get(told.uid)
         if office is None:
             if told.state == TERMINATED:
                 return None  # never heard of: nothing can be out there
             self._last += 1
-            desk = Desk(self._last, source, told)
-            self._offices[told.uid], self.desks[desk.office] = desk.office, desk
+            desk = Endpoint(self._last, source, told)
+            self._ids[told.uid], self.endpoints[desk.office] = desk.office, desk
         else:
-            desk = self.desks[office]
+            desk = self.endpoints[office]
             if told.state == TERMINATED:  # a deletion may name nothing but the uid
                 told = replace(desk.told, state=TERMINATED)
             if desk.told == told:
@@ -90,6 +90,6 @@
         return desk
 
     def _forget(self) -> None:
-        gone = [d for d in self.desks.values() if d.told.state == TERMINATED]
+        gone = [d for d in self.endpoints.values() if d.told.state == TERMINATED]
         for desk in gone[: max(0, len(gone) - GONE_KEPT)]:
-            del self.desks[desk.office], self._offices[desk.told.uid]
+            del self.endpoints[desk.office], self._ids[desk.told.uid]
--- a/arrowrail/wire/bus/messages.py
+++ b/arrowrail/wire/bus/messages.py
@@ -9,7 +9,7 @@
 import orjson
 from loguru import logger
 
-from arrowrail.state.directory import STATES, Told
+from arrowrail.state.endpoints import STATES, EndpointEntry
 from arrowrail.wire.http import BodyParser, HttpError
 
 MAX_EVENT = 1024 * 1024  # a whole list of a large network is far below it
@@ -23,7 +23,7 @@
 class BusEvent:
     offset: int
     whole: bool
-    lines: tuple[Told, ...]
+    lines: tuple[EndpointEntry, ...]
 
 
 @dataclass(slots=True)
@@ -96,7 +96,7 @@
         raise BusError(f"an event that makes no sense: {wrong!r}") from wrong
 
 
-def _line(line: Any) -> Told | None:
+def _line(line: Any) -> EndpointEntry | None:
     """Guards against one entry that makes no sense being asked for again for ever, and all behind it lost."""
     try:
         return told_of(line)
@@ -105,11 +105,11 @@
         return None
 
 
-def told_of(line: Any) -> Told:
+def told_of(line: Any) -> EndpointEntry:
     state = str(line["state"])
     if state not in STATES:
         raise ValueError(f"state {state!r}")
-    return Told(
+    return EndpointEntry(
         str(line["uid"]), str(line["endpoint"]), str(line.get("az", "")), int(line.get("pod_group", -1)),
         state, int(line.get("boot_ms") or 0) * 1_000_000, str(line.get("signalling", "binary")),
         int(line.get("point_code") or 0), int(line.get("circuits") or 0),
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -9,7 +9,7 @@
 from arrowrail.core import MS, Core, Offer
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, Endpoint
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
 from arrowrail.wire.desk.connection import RELEASE_TAG, ServerConnection
@@ -37,12 +37,12 @@
             pool.check_server()
         self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
 
-    def report_unreadable(self, desk: Desk, why: str) -> None:
+    def report_unreadable(self, desk: Endpoint, why: str) -> None:
         self.unreadable_seen.count(f"spoilt message from {desk.told.uid}: {why}")
 
     # --- From the core ----------------------------------------------------------------------------------
 
-    def changed(self, desk: Desk) -> None:
+    def changed(self, desk: Endpoint) -> None:
         """Connect ahead of the first set-up: the connection also tells the state of the group."""
         if desk.told.state == IN_SERVICE:
             self._pool(desk).open()
@@ -52,7 +52,7 @@
                 pool.close()
                 del self.pools[desk.office]
 
-    def _pool(self, desk: Desk) -> ConnectionPool:
+    def _pool(self, desk: Endpoint) -> ConnectionPool:
         pool = self.pools.get(desk.office)
         if pool is None:
             pool = self.pools[desk.office] = ConnectionPool(self, desk, self.per_desk)
@@ -70,7 +70,7 @@
                     del connection.waiting[call]
                     self.core.attempt_failed(connection.desk, call, "not_sent")
 
-    def set_up(self, desk: Desk, offer: Offer, wait_ns: int) -> None:
+    def set_up(self, desk: Endpoint, offer: Offer, wait_ns: int) -> None:
         if desk.told.state == TERMINATED:  # its connections are closed for good
             self.core.attempt_failed(desk, offer.call, "not_sent")
             return
@@ -80,7 +80,7 @@
         )  # fmt: skip
         self._pool(desk).least_loaded(offer.call).send_set_up(offer.call, binary.encode(message))
 
-    def give_up(self, desk: Desk, call: str) -> None:
+    def give_up(self, desk: Endpoint, call: str) -> None:
         pool = self.pools.get(desk.office)
         connection = pool.holding(call) if pool is not None else None
         if connection is None:
@@ -95,12 +95,12 @@
                 binary.encode(DeskMessage(binary.RELEASE, int(call, 16), cause=16)), RELEASE_TAG
             )
 
-    def release(self, desk: Desk, call: str, cause: int) -> None:
+    def release(self, desk: Endpoint, call: str, cause: int) -> None:
         pool = self.pools.get(desk.office)
         if pool is not None:
             pool.send(DeskMessage(binary.RELEASE, int(call, 16), cause=cause), RELEASE_TAG)
 
-    def probe(self, desk: Desk, fence: str, wait_ns: int, done: Callable[[bool], None]) -> bool:
+    def probe(self, desk: Endpoint, fence: str, wait_ns: int, done: Callable[[bool], None]) -> bool:
         """A test of the exchange, fenced by an epoch; ``done`` hears once whether it passed.
 
         False: no connection is up, so that nothing left.
--- a/arrowrail/wire/desk/connection.py
+++ b/arrowrail/wire/desk/connection.py
@@ -10,7 +10,7 @@
 
 from arrowrail.core import MS
 from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, GREETING_NS
-from arrowrail.state.directory import TERMINATED
+from arrowrail.state.endpoints import TERMINATED
 from arrowrail.telemetry.events import event, reason_of
 from arrowrail.wire.desk import binary
 from arrowrail.wire.reconnect import Reconnect
--- a/arrowrail/wire/desk/pool.py
+++ b/arrowrail/wire/desk/pool.py
@@ -7,7 +7,7 @@
 
 from arrowrail.core import LINK_BROKE, Q850_NORMAL
 from arrowrail.failure_detection.endpoint import EndpointMonitor
-from arrowrail.state.directory import IN_SERVICE, TERMINATING, Desk
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATING, Endpoint
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
 from arrowrail.wire.desk.connection import (
@@ -30,7 +30,7 @@
     few connections they are fewer, and what is owed to the exchange goes out on another one at once.
     """
 
-    def __init__(self, back: DeskBack, desk: Desk, size: int) -> None:
+    def __init__(self, back: DeskBack, desk: Endpoint, size: int) -> None:
         self.back, self.desk = back, desk
         self.monitor = EndpointMonitor(back.loop.now)
         self.check: ReachabilityCheck | None = None
--- a/arrowrail/wire/etcd/messages.py
+++ b/arrowrail/wire/etcd/messages.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from arrowrail.state.directory import TERMINATED, Told
+from arrowrail.state.endpoints import TERMINATED, EndpointEntry
 from arrowrail.wire.bus.messages import told_of
 
 MAX_LINE = 1024 * 1024
@@ -25,7 +25,7 @@
 @dataclass(frozen=True, slots=True)
 class News:
     revision: int
-    lines: tuple[Told, ...]
+    lines: tuple[EndpointEntry, ...]
 
 
 def _b64(raw: bytes) -> str:
@@ -102,10 +102,10 @@
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as wrong:
             raise EtcdError(f"watch: {wrong!r}") from wrong
 
-    def _event(self, event: dict[str, Any]) -> Told | None:
+    def _event(self, event: dict[str, Any]) -> EndpointEntry | None:
         if event.get("type", "PUT") == "DELETE":
             key = base64.b64decode(event["kv"]["key"]).decode()
-            return Told(_uid(key), "", "", -1, TERMINATED, 0)
+            return EndpointEntry(_uid(key), "", "", -1, TERMINATED, 0)
         return _line(event["kv"])
 
 
@@ -113,7 +113,7 @@
     return key.rpartition("/")[2]
 
 
-def _line(kv: dict[str, Any]) -> Told | None:
+def _line(kv: dict[str, Any]) -> EndpointEntry | None:
     """An entry's value has the event bus's form; its key's last part is the uid."""
     try:
         value = orjson.loads(base64.b64decode(kv["value"]))
--- a/arrowrail/wire/m3ua/back.py
+++ b/arrowrail/wire/m3ua/back.py
@@ -14,7 +14,7 @@
 from arrowrail.loop import Loop
 from arrowrail.state.address import DIGITS
 from arrowrail.state.deadlines import Deadline
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, Desk
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, Endpoint
 from arrowrail.wire.m3ua import causes
 from arrowrail.wire.m3ua.isup import UUI_MAX, Isup, IsupType
 from arrowrail.wire.m3ua.link import ACTIVE, Association, M3uaSettings
@@ -46,7 +46,7 @@
     """The association with one desk exchange, and the group of circuits that it signals for."""
 
     back: M3uaBack
-    desk: Desk
+    desk: Endpoint
     size: int
     idle: deque[int]
     link: Association | None = None
@@ -251,7 +251,7 @@
         category = rule.category if rule is not None and rule.category is not None else 0x0A
         return category, (rule.requirement if rule is not None and rule.requirement is not None else 0)
 
-    def changed(self, desk: Desk) -> None:
+    def changed(self, desk: Endpoint) -> None:
         trunk = self.trunks.get(desk.office)
         if desk.told.state == IN_SERVICE:
             self._trunk(desk).open()
@@ -263,22 +263,22 @@
                 trunk.close()
                 del self.trunks[desk.office]
 
-    def _trunk(self, desk: Desk) -> Trunk:
+    def _trunk(self, desk: Endpoint) -> Trunk:
         trunk = self.trunks.get(desk.office)
         if trunk is None:
             size = desk.told.circuits or self.circuits
             trunk = self.trunks[desk.office] = Trunk(self, desk, size, deque(range(1, size + 1)))
         return trunk
 
-    def set_up(self, desk: Desk, offer: Offer, _wait_ns: int) -> None:
+    def set_up(self, desk: Endpoint, offer: Offer, _wait_ns: int) -> None:
         self._trunk(desk).set_up(offer)
 
-    def give_up(self, desk: Desk, call: str) -> None:
+    def give_up(self, desk: Endpoint, call: str) -> None:
         trunk = self.trunks.get(desk.office)
         if trunk is not None and not trunk.take_back(call):
             trunk.release(call, causes.NORMAL)
 
-    def release(self, desk: Desk, call: str, cause: int) -> None:
+    def release(self, desk: Endpoint, call: str, cause: int) -> None:
         trunk = self.trunks.get(desk.office)
         if trunk is not None:
             trunk.release(call, cause)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 
 from arrowrail.core import MS, Answer, Core, Ended, Offer, Request
 from arrowrail.state.deadlines import Deadlines
-from arrowrail.state.directory import Desk, Told
+from arrowrail.state.endpoints import Endpoint, EndpointEntry
 from tests.live import settings
 from trackhatch import interface as i
 from trackhatch.simhost import read_settings
@@ -52,13 +52,13 @@
     def flushed(self) -> bool:
         return True
 
-    def changed(self, desk: Desk) -> None:
+    def changed(self, desk: Endpoint) -> None:
         self.said.append(("changed", desk.office, desk.told.state))
 
-    def set_up(self, desk: Desk, _offer: Offer, wait_ns: int) -> None:
+    def set_up(self, desk: Endpoint, _offer: Offer, wait_ns: int) -> None:
         self.said.append(("set_up", desk.office, wait_ns))
 
-    def give_up(self, desk: Desk, _call: str) -> None:
+    def give_up(self, desk: Endpoint, _call: str) -> None:
         self.said.append(("give_up", desk.office))
 
 
@@ -69,7 +69,7 @@
         self.core.module = self.module  # type: ignore[assignment]
         self.core.backs["binary"] = self.out
         self.core.fronts.append(self.out)
-        self.lines = [Told(f"d{n}", "a:1", "z", n, "in_service", 0) for n in range(1, 7)]
+        self.lines = [EndpointEntry(f"d{n}", "a:1", "z", n, "in_service", 0) for n in range(1, 7)]
         self.core.list_news("bus", True, self.lines)
         self.out.said.clear()
         self.core.offer(self.out, 0, Offer(CALL, "check", "ab", 0xAB, 1, 1, 9_000 * MS, b"", **offer))
@@ -90,7 +90,7 @@
         return [(e.outcome, e.call_over) for e in self.core.events if isinstance(e, i.AttemptEnded)]
 
     def lose(self, office: int, outcome: str) -> None:
-        self.core.attempt_failed(self.core.directory.desks[office], CALL, outcome)
+        self.core.attempt_failed(self.core.registry.endpoints[office], CALL, outcome)
 
 
 def to(office: int, time_out_ms: int = 0) -> i.SetUp:
@@ -123,7 +123,7 @@
 @pytest.mark.parametrize("state", ["terminating", "terminated"])
 def test_nothing_goes_to_a_draining_exchange_past_the_grace(state: str) -> None:
     bench = Bench()
-    bench.core.list_news("bus", False, [Told("d1", "a:1", "z", 1, state, 0)])
+    bench.core.list_news("bus", False, [EndpointEntry("d1", "a:1", "z", 1, state, 0)])
     bench.out.said.clear()
     assert bench.act(to(1), at_ms=502) == [] and bench.core.defects == 1
     assert bench.act(to(2))
@@ -142,7 +142,7 @@
     bench.act(to(1))
     assert bench.act(i.Refuse(CALL, 0), i.GiveUp(CALL), to(2)) == [("give_up", 1), ("answer", "refused")]
     assert bench.core.unanswered == 0 and not bench.core.requests
-    desk = bench.core.directory.desks[1]
+    desk = bench.core.registry.endpoints[1]
     bench.core.desk_answered(desk, CALL, b"late")  # released, not passed on
     bench.core.desk_released(desk, CALL, Ended("server_error"), 16)
     assert bench.act() == [("release", 16)]
@@ -181,7 +181,7 @@
 
 def test_a_call_taken_before_a_restart_is_released_to_its_caller_once() -> None:
     bench = Bench()
-    desk = bench.core.directory.desks[1]
+    desk = bench.core.registry.endpoints[1]
     for _ in range(2):
         bench.core.desk_released(desk, "00000000000000ff", Ended("server_error"), 16)
     assert bench.act() == [("unknown", "00000000000000ff")]
@@ -191,14 +191,14 @@
 def test_a_start_under_the_same_uid_cuts_what_was_sent_before_it(since_ms: int, cut: bool) -> None:
     bench = Bench()
     bench.act(to(1), at_ms=300)
-    bench.core.desk_answered(bench.core.directory.desks[1], CALL, b"")
+    bench.core.desk_answered(bench.core.registry.endpoints[1], CALL, b"")
     bench.core.deadlines.now = 1_000 * MS
-    bench.core.list_news("bus", False, [Told("d1", "a:1", "x", 1, "in_service", since_ms * MS)])
+    bench.core.list_news("bus", False, [EndpointEntry("d1", "a:1", "x", 1, "in_service", since_ms * MS)])
     assert bench.act().count(("release", 41)) == (2 if cut else 0)  # to the caller, and to the exchange
     assert len(bench.core.requests) == (0 if cut else 1)
 
 
 def test_lines_for_a_back_that_is_not_there_are_passed_over() -> None:
     bench = Bench()
-    bench.core.list_news("bus", False, [Told("x", "a:1", "z", 9, "in_service", 0, "m3ua")])
-    assert len(bench.core.directory.desks) == 6
+    bench.core.list_news("bus", False, [EndpointEntry("x", "a:1", "z", 9, "in_service", 0, "m3ua")])
+    assert len(bench.core.registry.endpoints) == 6
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -335,7 +335,7 @@
         tell(peer, binary.ANSWER, A)
         assert caller.answer(A).status == 200
         bus.tell(news(2, target("d1", desk.address, 1, "terminating")))
-        run.until(lambda: run.core.directory.desks[1].told.state == "terminating")
+        run.until(lambda: run.core.registry.endpoints[1].told.state == "terminating")
         caller.invite(B)
         assert caller.answer(B).status == 503  # nothing new goes to it
         tell(peer, binary.RELEASE, A, cause=16)
@@ -353,15 +353,15 @@
     with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
         assert bus.accept() == 1
         bus.tell(news(2, target("d1", desk.address, 1, "terminating")))
-        run.until(lambda: run.core.directory.desks[1].told.state == "terminating")
+        run.until(lambda: run.core.registry.endpoints[1].told.state == "terminating")
         bus.cut()
         assert bus.accept() == 2
         bus.tell(news(2, target("d1", desk.address, 1)))  # held already
         bus.tell(news(5, target("d9", "127.0.0.1:1", 9)))  # a gap: asked for again, once
         assert bus.accept() == 2
         bus.tell(news(5, target("d1", desk.address, 1)))
-        run.until(lambda: run.core.directory.desks[1].told.state == "in_service")
-        assert list(run.core.directory.desks) == [1]
+        run.until(lambda: run.core.registry.endpoints[1].told.state == "in_service")
+        assert list(run.core.registry.endpoints) == [1]
 
 
 def test_a_silent_bus_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -27,7 +27,7 @@
 from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import Listing
 from arrowrail.sidecar.main import Sidecar
-from arrowrail.state.directory import IN_SERVICE, TERMINATED, TERMINATING, Desk, Told
+from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING, Endpoint, EndpointEntry
 from arrowrail.wire.desk import binary
 from arrowrail.wire.m3ua.isup import IsupType
 from tests.live import SDP, Caller, Listening, M3uaPeer, release, set_up, tell, wait_until
@@ -79,7 +79,7 @@
 # --- The list of several sources -------------------------------------------------------------------------
 
 
-def states(told: list[Told]) -> dict[str, str]:
+def states(told: list[EndpointEntry]) -> dict[str, str]:
     return {t.uid: t.state for t in told}
 
 
@@ -87,12 +87,12 @@
     lines = compiled(tmp_path).lines
     listing = Listing()
     assert set(states(listing.use(lines)).values()) == {IN_SERVICE}
-    drains = Told("f-1", "127.0.0.1:6101", "z", 0, TERMINATING, 0)
+    drains = EndpointEntry("f-1", "127.0.0.1:6101", "z", 0, TERMINATING, 0)
     assert states(listing.heard(False, [drains])) == {"f-1@127.0.0.1:6101": TERMINATING}
     # The operator marks another one; a source that still names it in service does not bring it back.
     marked = [replace(line, state=TERMINATED) if line.name == "k-1" else line for line in lines]
     assert states(listing.use(marked)) == {"k-1@127.0.0.1:6103": TERMINATED}
-    still = Told("k-1", "127.0.0.1:6103", "z", 0, IN_SERVICE, 0)
+    still = EndpointEntry("k-1", "127.0.0.1:6103", "z", 0, IN_SERVICE, 0)
     assert listing.heard(False, [still]) == []
     assert states(listing.heard(False, [replace(drains, state=IN_SERVICE)])) == {
         "f-1@127.0.0.1:6101": IN_SERVICE
@@ -102,7 +102,7 @@
 def test_what_a_whole_list_does_not_name_drains_and_strangers_are_counted(tmp_path: Path) -> None:
     listing = Listing()
     listing.use(compiled(tmp_path).lines)
-    named = [Told(n, "", "z", 0, IN_SERVICE, 0) for n in ("f-1", "f-2", "k-1", "stranger")]
+    named = [EndpointEntry(n, "", "z", 0, IN_SERVICE, 0) for n in ("f-1", "f-2", "k-1", "stranger")]
     assert states(listing.heard(True, named)) == {"k-2@127.0.0.1:6104": TERMINATING}
     assert listing.unknown == 1
 
@@ -121,7 +121,7 @@
     lines = compiled(tmp_path).lines
     listing = Listing()
     listing.use(lines)
-    moved = Told("f-1", "127.0.0.1:7000", "z", 0, IN_SERVICE, 5)
+    moved = EndpointEntry("f-1", "127.0.0.1:7000", "z", 0, IN_SERVICE, 5)
     assert states(listing.heard(False, [moved])) == {
         "f-1@127.0.0.1:6101": TERMINATING, "f-1@127.0.0.1:7000": IN_SERVICE,
     }  # fmt: skip
@@ -155,8 +155,8 @@
 def test_an_answer_to_a_call_of_our_own_outweighs_others_probes(tmp_path: Path) -> None:
     door = RecordsDoor(compiled(tmp_path), T0)
     door.book.told([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
-    told = Told("f-1@127.0.0.1:6101", "127.0.0.1:6101", "z", 1, IN_SERVICE, 0)
-    door.attempt_over(T0, Desk(1, "site", told), "served", 0)
+    told = EndpointEntry("f-1@127.0.0.1:6101", "127.0.0.1:6101", "z", 1, IN_SERVICE, 0)
+    door.attempt_over(T0, Endpoint(1, "site", told), "served", 0)
     assert door.doubted(T0 + S, [1]) == []
     news = door.doubted(T0 + 6 * S, [1])
     assert {n.exchanges for n in news} == {(2,)} and len(news) == 2
@@ -367,7 +367,7 @@
 def test_with_its_whole_pool_gone_a_class_goes_to_the_fallback(tmp_path: Path) -> None:
     with beside(tmp_path) as (b, caller):
         links = {name: b.exchanges[name].desk() for name in b.exchanges}
-        news = [Told(n, "", "z", 0, TERMINATING, 0) for n in ("f-1", "f-2")]
+        news = [EndpointEntry(n, "", "z", 0, TERMINATING, 0) for n in ("f-1", "f-2")]
         b.sidecar.program.loop.deadlines.at(0, lambda: b.sidecar.core.list_news("bus", False, news))
         wait_until(lambda: b.sidecar.door.book.allowed("alarm@fukuoka").pools == ("k",))
         invite(caller, "a" * 16)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 from arrowrail.core import FAILED, REFUSED, Answer, Offer
 from arrowrail.state.deadlines import Deadlines
-from arrowrail.state.directory import Directory, Told
+from arrowrail.state.endpoints import EndpointEntry, EndpointRegistry
 from arrowrail.state.slots import SlotTable
 from arrowrail.wire.bus import messages as bus
 from arrowrail.wire.desk import binary
@@ -155,7 +155,7 @@
     b'{"offset":4,"topology":{"all":true,"targets":'
     b'[{"uid":"u","endpoint":"a:1","pod_group":2,"state":"in_service","boot_ms":3}]}}'
 )
-TOLD = Told("u", "a:1", "", 2, "in_service", 3_000_000)
+TOLD = EndpointEntry("u", "a:1", "", 2, "in_service", 3_000_000)
 
 
 @pytest.mark.parametrize(
@@ -316,7 +316,7 @@
     created = orjson.dumps({"result": {"header": {"revision": "7"}, "created": True}}) + b"\n"
     found = both_ways(lambda: etcd.WatchParser("/d/").feed, created + line)
     assert found[0] == etcd.News(7, ())
-    assert found[1].lines == (TOLD, Told("w", "", "", -1, "terminated", 0))
+    assert found[1].lines == (TOLD, EndpointEntry("w", "", "", -1, "terminated", 0))
 
 
 @pytest.mark.parametrize(
@@ -365,12 +365,12 @@
     assert (ran, deadlines.next_at()) == ([10, 10, 20], 5)
 
 
-def test_the_directory_tells_changes_only_and_each_source_its_own() -> None:
-    directory = Directory()
-    other = Told("v", "a:2", "", 3, "in_service", 0)
-    assert [d.office for d in directory.apply(1, "bus", True, [TOLD])] == [1]
-    assert directory.apply(2, "bus", False, [TOLD]) == []
-    assert [d.office for d in directory.apply(3, "etcd", True, [other])] == [2]
-    (gone,) = directory.apply(4, "bus", True, [])
+def test_the_registry_tells_changes_only_and_each_source_its_own() -> None:
+    registry = EndpointRegistry()
+    other = EndpointEntry("v", "a:2", "", 3, "in_service", 0)
+    assert [d.office for d in registry.apply(1, "bus", True, [TOLD])] == [1]
+    assert registry.apply(2, "bus", False, [TOLD]) == []
+    assert [d.office for d in registry.apply(3, "etcd", True, [other])] == [2]
+    (gone,) = registry.apply(4, "bus", True, [])
     assert (gone.office, gone.told.state, gone.told.exchange, gone.drain_told_ns) == (1, "terminated", 2, 4)
-    assert directory.apply(5, "bus", False, [Told("never", "", "", -1, "terminated", 0)]) == []
+    assert registry.apply(5, "bus", False, [EndpointEntry("never", "", "", -1, "terminated", 0)]) == []
