Send releases again that may have gone down with their connection

Only messages not yet written were sent again. Change: a connection remembers the releases that the server has not confirmed, 200 at most, for 8 s; when it is lost they go out on another one, or on the next, but not for a call that is out there again.

--- a/arrowrail/core.py
+++ b/arrowrail/core.py
@@ -337,6 +337,11 @@
                 released += 1
         return released
 
+    def is_out_at(self, call: str, desk: Endpoint) -> bool:
+        """Whether an attempt of the call is out, or stands, at that server."""
+        request = self.find(call)
+        return request is not None and request.out is not None and request.out.desk is desk
+
     def set_up_at(self, call: str) -> int:
         """When the attempt of a call that is out, or stands, was sent; 0 where there is none."""
         request = self.find(call)
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -12,7 +12,7 @@
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING, Endpoint
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
-from arrowrail.wire.desk.connection import RELEASE_TAG, ServerConnection
+from arrowrail.wire.desk.connection import ServerConnection
 from arrowrail.wire.desk.outcomes import read_release
 from arrowrail.wire.desk.pool import MOST_PENDING, ConnectionPool
 from arrowrail.wire.unfinished import Tally
@@ -98,14 +98,12 @@
             del connection.pool.given_up[next(iter(connection.pool.given_up))]
         if connection.stream is not None and not connection.stream.withdraw(call):
             # On the set-up's own connection: on another one it could overtake it.
-            connection.stream.send(
-                binary.encode(DeskMessage(binary.RELEASE, int(call, 16), cause=16)), RELEASE_TAG
-            )
+            connection.send_release(call, binary.encode(DeskMessage(binary.RELEASE, int(call, 16), cause=16)))
 
     def release(self, desk: Endpoint, call: str, cause: int) -> None:
         pool = self.pools.get(desk.office)
         if pool is not None:
-            pool.send(DeskMessage(binary.RELEASE, int(call, 16), cause=cause), RELEASE_TAG)
+            pool.release(call, cause)
 
     def probe(self, desk: Endpoint, fence: str, wait_ns: int, done: Callable[[bool], None]) -> bool:
         """A test of the exchange, fenced by an epoch; ``done`` hears once whether it passed.
@@ -149,6 +147,8 @@
             self.core.desk_released(connection.desk, call, read_release(message), message.cause)
             if connection.stream is not None:
                 connection.stream.send(binary.encode(DeskMessage(binary.RELEASE_HEARD, message.call)))
+        elif message.kind == binary.RELEASE_HEARD:
+            connection.unheard.pop(call, None)
         elif message.kind == binary.GROUP and message.size >= 0:
             self.core.group_state(connection.desk, message.free, message.size)
         elif message.kind == binary.TESTED:
--- a/arrowrail/wire/desk/connection.py
+++ b/arrowrail/wire/desk/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -20,10 +21,20 @@
 if TYPE_CHECKING:
     from arrowrail.wire.desk.pool import ConnectionPool
 
-RELEASE_TAG = "release"  # names releases among the messages of a connection; no call's id looks like it
+UNHEARD_NS = 8_000 * MS  # how long a release that was written counts as possibly lost with its connection
+MOST_UNHEARD = 200  # of one connection
 UNFINISHED_NS = 500 * MS  # a message has 16 KiB at most: the rest of one is there within two round trips
 
 
+@dataclass(frozen=True, slots=True)
+class Release:
+    """A release of a call toward the server; ``written_ns`` 0: it waits for a connection."""
+
+    call: str
+    data: bytes
+    written_ns: int = 0
+
+
 class ServerConnection:
     """One connection to a desk exchange, and the set-ups on it that are unanswered."""
 
@@ -36,6 +47,7 @@
         "retry",
         "stream",
         "unfinished",
+        "unheard",
         "waiting",
     )
 
@@ -46,6 +58,7 @@
         self.stream: Stream | None = None
         self.parser = binary.BinaryParser()
         self.waiting: dict[str, bytes] = {}  # unanswered set-ups by call, queued or sent
+        self.unheard: dict[str, Release] = {}  # releases written here that the server has not confirmed
         self.retry = Reconnect(pool.back.loop, self.open)
         self.unfinished = Unfinished(pool.back.loop, UNFINISHED_NS, self._stalled)
 
@@ -103,8 +116,11 @@
         waiting, self.waiting = self.waiting, {}
         self._log_loss(stream is not None and not stream.connecting, why, len(waiting))
         if stream is not None:
-            # Guards against a call that its caller ended standing on beyond a broken connection.
-            self.pool.queue_releases(*stream.left(RELEASE_TAG))
+            # Guards against a call that its caller ended standing on beyond a broken connection: what was
+            # written may have gone down with it.
+            since = self.pool.back.loop.now - UNHEARD_NS
+            unheard, self.unheard = self.unheard, {}
+            self.pool.queue_releases([r for r in unheard.values() if r.written_ns > since])
         if self.desk.told.state != TERMINATED:
             self.retry.failed()
             self.pool.connection_failed(why)
@@ -125,6 +141,15 @@
         if self.stream is not None:
             self.stream.send(data, call)
 
+    def send_release(self, call: str, data: bytes) -> None:
+        """Write a release; it is remembered until the server confirms it, which it need not do."""
+        if self.stream is None:
+            return
+        self.unheard[call] = Release(call, data, self.pool.back.loop.now)
+        if len(self.unheard) > MOST_UNHEARD:
+            del self.unheard[next(iter(self.unheard))]
+        self.stream.send(data)
+
     def close(self) -> None:
         self.retry.cancel()
         self.unfinished.cancel()
--- a/arrowrail/wire/desk/pool.py
+++ b/arrowrail/wire/desk/pool.py
@@ -11,9 +11,9 @@
 from arrowrail.wire.desk import binary
 from arrowrail.wire.desk.binary import DeskMessage
 from arrowrail.wire.desk.connection import (
-    RELEASE_TAG,
     ClosingConnection,
     ReachabilityCheck,
+    Release,
     ServerConnection,
 )
 
@@ -35,7 +35,7 @@
         self.monitor = EndpointMonitor(back.loop.now)
         self.check: ReachabilityCheck | None = None
         self.unknown_calls = False  # calls may stand there that were set up before our start
-        self.pending_releases: list[bytes] = []  # releases that found no connection
+        self.pending_releases: list[Release] = []  # releases that found no connection
         # Where set-ups were that no longer wait, the latest of them.
         self.given_up: dict[str, ServerConnection] = {}
         self.connections = [ServerConnection(self) for _ in range(size)]
@@ -72,7 +72,7 @@
             return
         if not unsent:
             # Guards against a set-up that ran all the same, its answer spoilt, holding circuits for nobody.
-            self.send(DeskMessage(binary.RELEASE, int(call, 16), cause=Q850_NORMAL), RELEASE_TAG)
+            self.release(call, Q850_NORMAL)
         outcome = "no_connection" if unsent else "connection_lost"
         # That a connection broke says nothing of the processor behind it; that none comes up does.
         self.back.core.attempt_failed(self.desk, call, outcome, 0 if never_up else LINK_BROKE)
@@ -129,29 +129,29 @@
             self.check = ReachabilityCheck(self)
             self.check.open()
 
-    def queue_releases(self, *messages: bytes) -> None:
-        self.pending_releases = [*self.pending_releases, *messages][-MOST_PENDING:]
+    def queue_releases(self, releases: list[Release]) -> None:
+        """Releases that may not have arrived go out again, on another connection or on the next one."""
+        self.pending_releases = [*self.pending_releases, *releases][-MOST_PENDING:]
         connection = self.least_loaded()
         if connection.up:
             self.flush_releases(connection)
 
     def flush_releases(self, connection: ServerConnection) -> None:
         pending, self.pending_releases = self.pending_releases, []
-        for data in pending:
-            if connection.stream is not None:
-                connection.stream.send(data, RELEASE_TAG)
-
-    def send(self, message: DeskMessage, tag: str | None = None) -> None:
-        connection, data = self.least_loaded(), binary.encode(message)
-        if connection.stream is None and tag == RELEASE_TAG:
-            self.pending_releases = [*self.pending_releases, data][
-                -MOST_PENDING:
-            ]  # paid once a connection is up
+        for release in pending:
+            # Guards a call that has gone the same way again: a late release would end its new set-up.
+            if not self.back.core.is_out_at(release.call, self.desk):
+                connection.send_release(release.call, release.data)
+
+    def release(self, call: str, cause: int) -> None:
+        """End a call, or a set-up that may have run, at the server."""
+        connection = self.least_loaded()
+        data = binary.encode(DeskMessage(binary.RELEASE, int(call, 16), cause=cause))
+        if connection.stream is None:
+            self.pending_releases = [*self.pending_releases, Release(call, data)][-MOST_PENDING:]
             connection.open()
-            return
-        connection.open()
-        if connection.stream is not None:
-            connection.stream.send(data, tag)
+        else:
+            connection.send_release(call, data)
 
     def close(self) -> None:
         """Close all connections; what was written last still goes out, and nothing more is asked of them."""
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -101,10 +101,6 @@
         """Whether not one byte of the message has been written."""
         return any(item.tag == tag and item.offset == 0 for item in self._out)
 
-    def left(self, tag: object) -> list[bytes]:
-        """The messages of that name that were not written to their end."""
-        return [item.data for item in self._out if item.tag == tag]
-
     @property
     def unread(self) -> bool:
         """Whether input waits in the kernel: closing now would destroy it, and what answers it."""
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -243,6 +243,27 @@
         assert release(peer, A).cause == 16
 
 
+def test_a_release_that_went_down_with_its_connection_is_sent_again() -> None:
+    desk = Listening()
+    with running(target("d1", desk.address, 1)) as run:
+        peer, caller = desk.desk(), Caller(run.port)
+        for call in (A, B):
+            caller.invite(call)
+            set_up(peer, call)
+            tell(peer, binary.ANSWER, call)
+            assert caller.answer(call).status == 200
+            caller.send("BYE", call)
+            assert caller.answer(call, "BYE").status == 200
+            if call == A:
+                release(peer, A)
+                tell(peer, binary.RELEASE_HEARD, A)
+        connection = run.core.backs["binary"].pools[1].connections[0]  # type: ignore[attr-defined]
+        run.until(lambda: set(connection.unheard) == {B})
+        peer.reset()
+        assert release(desk.desk(), B).call == int(B, 16)
+        assert run.look(lambda: A not in connection.unheard)
+
+
 def test_a_refused_connection_proves_that_nothing_ran_and_needs_no_pause() -> None:
     port = Listening()
     port.sock.close()
