--- a/arrowrail/core.py
+++ b/arrowrail/core/engine.py
@@ -9,143 +9,42 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
-from typing import Protocol
+from dataclasses import replace
 
 from loguru import logger
 
+from arrowrail.core.requests import (
+    FAILED,
+    MS,
+    Q850_CUT,
+    Q850_NORMAL,
+    REFUSED,
+    SHUTDOWN,
+    STANDS,
+    Answer,
+    Attempt,
+    Back,
+    Door,
+    Ended,
+    Front,
+    Offer,
+    Request,
+)
+from arrowrail.core.rules import broken_rule
 from arrowrail.shutdown.plan import ShutdownPlan
-from arrowrail.state.deadlines import Deadline, Deadlines
-from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
+from arrowrail.state.deadlines import Deadlines
+from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
 from arrowrail.state.slots import SlotTable
 from arrowrail.telemetry.events import call_event, event, some_ids
 from arrowrail.telemetry.metrics import Metrics
 from trackhatch import Controller
 from trackhatch import interface as i
 
-MS = 1_000_000
 PAUSED_AFTER = ("no_answer", "connection_lost", "called_off")
 OVERDUE_NS = 10 * MS  # past the deadline: inside the slack of every known site, and time for the module
 ENDED_KEPT_NS = 30_000 * MS  # how long a late message for an ended call is recognised as such
 MOST_ENDED = 65_536  # of them: a flood of refused set-ups must not take the memory
 
-STANDS, REFUSED, FAILED = "stands", "refused", "failed"
-Q850_NORMAL, Q850_CUT = 16, 41
-LINK_BROKE = i.LINK_BROKE  # a cause: the connection failed, which says nothing of the processor
-
-
-@dataclass(frozen=True, slots=True)
-class Offer:
-    """A request as any front words it."""
-
-    call: str  # unique for good; 16 hex digits
-    class_name: str
-    number: str  # the number called, as the caller wrote it
-    key: int  # the number called, for the module
-    destination: int
-    width: int
-    deadline_ns: int
-    description: bytes
-    in_transit: bool = False
-    redialled: bool = False
-    came_back: bool = False
-    via: int = -1
-    route: str = ""  # the class by which the module knows it, where that is not the caller's
-    district: str = ""  # named by the caller, where it is
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """The one final answer of a request."""
-
-    kind: str  # STANDS, REFUSED or FAILED
-    description: bytes = b""
-    stay_away_ns: int = 0
-    outcome: str = ""  # of the last attempt, where one was made: a front may word its refusal by it
-    cause: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """A release by a desk exchange, read both ways: only the core knows whether the call stood."""
-
-    outcome: str  # if the call did not stand yet
-    cause: int = 0
-    stood: str = "served"  # if it did
-
-
-@dataclass(slots=True)
-class Attempt:
-    number: int
-    desk: Endpoint
-    sent_ns: int
-    timer: Deadline | None = None
-
-
-@dataclass(slots=True)
-class Request:
-    offer: Offer
-    front: Front
-    line: int  # the front's own handle for where the answer goes
-    handle: int = 0
-    attempts: int = 0
-    out: Attempt | None = None  # the attempt that is out, or that stands
-    stands: bool = False
-    not_before: int = 0
-    timer: Deadline | None = None
-    last: tuple[str, int] = ("", 0)  # outcome and cause of the last attempt
-    taken_ns: int = 0
-    let_in: bool = False  # the door counts it until its final answer
-
-
-class Front(Protocol):
-    def answer(self, request: Request, answer: Answer) -> None: ...
-    def release(self, request: Request, cause: int) -> None: ...
-    def release_unknown(self, call: str, cause: int) -> None: ...
-    def flushed(self) -> bool:
-        """Whether all that was said has been written."""
-
-    @property
-    def connections(self) -> int:
-        """How many connections of callers are open."""
-
-
-class Back(Protocol):
-    def changed(self, desk: Endpoint) -> None:
-        """News of the list: open, withdraw what is still queued, or close."""
-
-    def set_up(self, desk: Endpoint, offer: Offer, wait_ns: int) -> None: ...
-    def give_up(self, desk: Endpoint, call: str) -> None:
-        """Take the set-up back if it is still queued, else tell the desk exchange."""
-
-    def release(self, desk: Endpoint, call: str, cause: int) -> None: ...
-
-
-NO_ROUTE, OVER_LIMIT = "no_route", "over_limit"  # outcomes of set-ups that the door turns away
-SHUTDOWN = "shutdown"  # the outcome of requests that are cut off by the end of the process
-
-
-class Door(Protocol):
-    """What decides before the module, where an installation has it: routes, limits, the use of pools."""
-
-    def enter(self, now: int, line: object, offer: Offer) -> tuple[Offer, Answer | None]:
-        """The offer as it goes on, or the answer that turns it away."""
-
-    def settled(self, now: int, line: object, offer: Offer, took_ns: int) -> None:
-        """A set-up that was let in has its final answer, or its caller has gone."""
-
-    def time_out_ns(self, offer: Offer) -> int:
-        """How long an attempt may go unanswered; 0: until the caller's deadline."""
-
-    def carries(self, class_name: str) -> bool: ...
-    def listed(
-        self, source: str, whole: bool, lines: Iterable[EndpointEntry]
-    ) -> tuple[str, bool, list[EndpointEntry]]:
-        """News of the list as it takes effect here."""
-
-    def told(self, desks: Iterable[Endpoint]) -> list[i.PoolNews]: ...
-    def attempt_over(self, now: int, desk: Endpoint, outcome: str, cause: int) -> list[i.PoolNews]: ...
-
 
 class Core:
     def __init__(self, settings: i.Settings, seed: int, deadlines: Deadlines) -> None:
@@ -458,7 +357,7 @@
 
     def _set_up(self, call: str, office: int, time_out: int) -> None:
         request, desk = self.find(call), self.registry.get(office)
-        why = self._breaks_a_rule(request, desk)
+        why = broken_rule(self.now, self.settings, request, desk)
         if why or request is None or desk is None:
             self.defects += 1
             self.metrics.count("check.fired", why)
@@ -483,29 +382,6 @@
                    attempt=attempt.number, server=desk.told.uid)  # fmt: skip
         self._back(desk).set_up(desk, request.offer, until - self.now)
 
-    def _breaks_a_rule(self, request: Request | None, desk: Endpoint | None) -> str:
-        """The last check before anything leaves; the text says which rule it is."""
-        if request is None:
-            return "the call is over"
-        if desk is None:
-            return "the office was never listed"
-        if request.stands or request.out is not None:
-            return "an attempt is out already"
-        if request.attempts >= self.settings.max_attempts:
-            return "no attempt is left"
-        if self.now < request.not_before:
-            return "the release pause is not over"
-        if self.now >= request.offer.deadline_ns:
-            return "the deadline has passed"
-        if desk.told.state != IN_SERVICE and self.now - desk.drain_told_ns >= self.settings.drain_grace_ns:
-            return "the desk exchange drains or is gone"
-        meshed = self.settings.layout == "meshed"
-        if meshed and desk.told.exchange == self.settings.own_exchange:
-            return "it is the own exchange"
-        if request.offer.in_transit and desk.told.exchange != request.offer.destination:
-            return "a call in transit goes to its destination only"
-        return ""
-
     # --- Ends -------------------------------------------------------------------------------------------
 
     def _deadline(self, handle: int) -> None:
--- a/arrowrail/group/runtime.py
+++ b/arrowrail/group/runtime.py
@@ -13,7 +13,7 @@
 import orjson
 from loguru import logger
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.group.instance import Instance, Message, Out, Run
 from arrowrail.group.plan import GroupPlan
 from arrowrail.leases.batch import Batch
--- a/arrowrail/lab/application.py
+++ b/arrowrail/lab/application.py
@@ -11,7 +11,7 @@
 import argparse
 import random
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.lab.commands import run_until_told
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import Loop
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -20,7 +20,8 @@
 from typing import Any
 
 from arrowrail.config.folder import check
-from arrowrail.core import Answer, Core, Ended, Offer, Request
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import Answer, Ended, Offer, Request
 from arrowrail.lab.processes import ROOT, Crew, free_ports, listens, until
 from arrowrail.lab.simgroup import movement, traffic
 from arrowrail.lab.unlimited import NoLimits
--- a/arrowrail/lab/bus.py
+++ b/arrowrail/lab/bus.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.lab.commands import read_commands, run_until_told
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import Loop
--- a/arrowrail/lab/commands.py
+++ b/arrowrail/lab/commands.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import READ, Loop
 
--- a/arrowrail/lab/exchange.py
+++ b/arrowrail/lab/exchange.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.lab.commands import read_commands, run_until_told
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import Loop
--- a/arrowrail/lab/platform.py
+++ b/arrowrail/lab/platform.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 
 IN_SERVICE = "in_service"
 
--- a/arrowrail/lab/soak/callers.py
+++ b/arrowrail/lab/soak/callers.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.lab.commands import read_commands, run_until_told
 from arrowrail.lab.ledger import Ledger
 from arrowrail.loop import Loop
--- a/arrowrail/lab/soak/variants.py
+++ b/arrowrail/lab/soak/variants.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 import trackhatch.choice
-from arrowrail import core
+from arrowrail.core import engine
+from arrowrail.core.requests import STANDS, Answer, Request
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.run import main as run_main
 from arrowrail.shutdown.plan import ShutdownPlan
@@ -21,17 +22,17 @@
 
 def _without_drain() -> None:
     """News that a server drains is not taken in."""
-    taken = core.Core.list_news
+    taken = engine.Core.list_news
 
-    def list_news(self: core.Core, source: str, whole: bool, lines: Any) -> None:
+    def list_news(self: engine.Core, source: str, whole: bool, lines: Any) -> None:
         taken(self, source, whole, [line for line in lines if line.state != "terminating"])
 
-    setattr(core.Core, "list_news", list_news)  # noqa: B010 - a method is replaced on purpose
+    setattr(engine.Core, "list_news", list_news)  # noqa: B010 - a method is replaced on purpose
 
 
 def _without_pause() -> None:
     """No pause after an attempt that timed out, broke or was cancelled."""
-    core.PAUSED_AFTER = ()  # type: ignore[assignment]
+    engine.PAUSED_AFTER = ()  # type: ignore[assignment]
     trackhatch.choice.AWAIT_RELEASE = ()  # type: ignore[assignment]
 
 
@@ -44,10 +45,10 @@
     """A refusal is said twice."""
     said = SipFront.answer
 
-    def answer(self: SipFront, request: core.Request, answer: core.Answer) -> None:
+    def answer(self: SipFront, request: Request, answer: Answer) -> None:
         dialog = self.dialogs.get(request.offer.call)
         said(self, request, answer)
-        if answer.kind != core.STANDS and dialog is not None:
+        if answer.kind != STANDS and dialog is not None:
             self.dialogs[request.offer.call] = dialog
             said(self, request, answer)
 
@@ -57,7 +58,7 @@
 def _without_shutdown() -> None:
     """Requests are held for their own deadline, whenever the kill comes."""
     setattr(ShutdownPlan, "due_ns", lambda self, deadline_ns: deadline_ns)  # noqa: B010
-    setattr(core.Core, "_cut_off", lambda self: None)  # noqa: B010
+    setattr(engine.Core, "_cut_off", lambda self: None)  # noqa: B010
 
 
 def _without_told() -> None:
--- a/arrowrail/run/extras.py
+++ b/arrowrail/run/extras.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from arrowrail.config.records import Controller, ControllerM3ua
-from arrowrail.core import Core
+from arrowrail.core.engine import Core
 from arrowrail.loop import Loop
 from arrowrail.run.config import Config
 from arrowrail.state.endpoints import IN_SERVICE, EndpointEntry
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -11,7 +11,8 @@
 
 from loguru import logger
 
-from arrowrail.core import MS, Core
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.run.config import Config, from_environment
 from arrowrail.run.log import log_to
--- a/arrowrail/sidecar/door.py
+++ b/arrowrail/sidecar/door.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
-from arrowrail.core import LINK_BROKE, NO_ROUTE, OVER_LIMIT, REFUSED, Answer, Offer
+from arrowrail.core.requests import LINK_BROKE, NO_ROUTE, OVER_LIMIT, REFUSED, Answer, Offer
 from arrowrail.limits.limiter import Limiter
 from arrowrail.pools.book import Allowed, Book
 from arrowrail.sidecar.compile import Compiled
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from arrowrail.core import MS, Q850_CUT, Core
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS, Q850_CUT
 from arrowrail.duties.hints import SILENT
 from arrowrail.run.config import Config
 from arrowrail.run.log import log_to
--- a/arrowrail/wire/bus/client.py
+++ b/arrowrail/wire/bus/client.py
@@ -6,7 +6,8 @@
 
 from loguru import logger
 
-from arrowrail.core import MS, Core
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.telemetry.events import event as log_event
--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -6,7 +6,8 @@
 
 from loguru import logger
 
-from arrowrail.core import MS, Core, Offer
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS, Offer
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING, Endpoint
--- a/arrowrail/wire/desk/connection.py
+++ b/arrowrail/wire/desk/connection.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, GREETING_NS
 from arrowrail.state.endpoints import TERMINATED
 from arrowrail.telemetry.events import event, reason_of
--- a/arrowrail/wire/desk/outcomes.py
+++ b/arrowrail/wire/desk/outcomes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from arrowrail.core import Ended
+from arrowrail.core.requests import Ended
 from arrowrail.wire.desk.binary import DeskMessage
 
 # Release causes of an unanswered set-up, as outcomes of the module.
--- a/arrowrail/wire/desk/pool.py
+++ b/arrowrail/wire/desk/pool.py
@@ -5,7 +5,7 @@
 import errno
 from typing import TYPE_CHECKING
 
-from arrowrail.core import LINK_BROKE, Q850_NORMAL
+from arrowrail.core.requests import LINK_BROKE, Q850_NORMAL
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATING, Endpoint
 from arrowrail.wire.desk import binary
--- a/arrowrail/wire/etcd/client.py
+++ b/arrowrail/wire/etcd/client.py
@@ -7,7 +7,8 @@
 
 from loguru import logger
 
-from arrowrail.core import MS, Core
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.wire.etcd import messages as etcd
--- a/arrowrail/wire/m3ua/back.py
+++ b/arrowrail/wire/m3ua/back.py
@@ -9,7 +9,8 @@
 
 from loguru import logger
 
-from arrowrail.core import LINK_BROKE, MS, Q850_CUT, Core, Offer
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import LINK_BROKE, MS, Q850_CUT, Offer
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.loop import Loop
 from arrowrail.state.address import DIGITS
--- a/arrowrail/wire/m3ua/causes.py
+++ b/arrowrail/wire/m3ua/causes.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from arrowrail.core import FAILED, NO_ROUTE, OVER_LIMIT, Answer, Ended
+from arrowrail.core.requests import FAILED, NO_ROUTE, OVER_LIMIT, Answer, Ended
 
 NORMAL = 16
 
--- a/arrowrail/wire/m3ua/front.py
+++ b/arrowrail/wire/m3ua/front.py
@@ -8,7 +8,8 @@
 
 from loguru import logger
 
-from arrowrail.core import MS, STANDS, Answer, Core, Offer, Request
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS, STANDS, Answer, Offer, Request
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.state.slots import SlotTable
--- a/arrowrail/wire/m3ua/link.py
+++ b/arrowrail/wire/m3ua/link.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.wire.m3ua import isup
--- a/arrowrail/wire/m3ua/rules.py
+++ b/arrowrail/wire/m3ua/rules.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 
 T1_NS = 15_000 * MS  # Q.764: how long a release may go without its RLC before it is sent again
 
--- a/arrowrail/wire/reconnect.py
+++ b/arrowrail/wire/reconnect.py
@@ -5,7 +5,7 @@
 import errno
 from collections.abc import Callable
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 from arrowrail.wire.stream import Stream
--- a/arrowrail/wire/sip/front.py
+++ b/arrowrail/wire/sip/front.py
@@ -6,7 +6,8 @@
 import socket
 from dataclasses import dataclass, field, replace
 
-from arrowrail.core import FAILED, MS, NO_ROUTE, REFUSED, STANDS, Answer, Core, Offer, Request
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import FAILED, MS, NO_ROUTE, REFUSED, STANDS, Answer, Offer, Request
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.telemetry.events import call_event, event, some_ids
--- a/arrowrail/wire/unfinished.py
+++ b/arrowrail/wire/unfinished.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from arrowrail.core import MS
+from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.state.deadlines import Deadline
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from arrowrail.core import MS, Answer, Core, Ended, Offer, Request
+from arrowrail.core.engine import Core
+from arrowrail.core.requests import MS, Answer, Ended, Offer, Request
 from arrowrail.state.deadlines import Deadlines
 from arrowrail.state.endpoints import Endpoint, EndpointEntry
 from tests.live import settings
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -17,7 +17,7 @@
 import pytest
 
 from arrowrail.config.folder import check
-from arrowrail.core import NO_ROUTE, OVER_LIMIT, REFUSED, Offer
+from arrowrail.core.requests import NO_ROUTE, OVER_LIMIT, REFUSED, Offer
 from arrowrail.lab.processes import free_ports
 from arrowrail.loop import Loop
 from arrowrail.run.reader import at_rest, controller, sidecar
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,7 @@
 import orjson
 import pytest
 
-from arrowrail.core import FAILED, REFUSED, Answer, Offer
+from arrowrail.core.requests import FAILED, REFUSED, Answer, Offer
 from arrowrail.state.deadlines import Deadlines
 from arrowrail.state.endpoints import EndpointEntry, EndpointRegistry
 from arrowrail.state.slots import SlotTable
