Name what decides before the module: admission controller

Need: 'door' is a metaphor of our own. Class, attribute and module are renamed; no change of behaviour.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -21,10 +21,10 @@
     REFUSED,
     SHUTDOWN,
     STANDS,
+    AdmissionController,
     Answer,
     Attempt,
     Back,
-    Door,
     Ended,
     Front,
     Offer,
@@ -59,8 +59,8 @@
         self.fronts: list[Front] = []
         self.events: list[i.Event] = []
         self.listed = False
-        self.door: Door | None = None
-        self.turned_away: list[tuple[Request, Answer]] = []  # by the door, to be answered this turn
+        self.admission: AdmissionController | None = None
+        self.turned_away: list[tuple[Request, Answer]] = []  # by admission, to be answered this turn
         self.unanswered = 0  # requests that are still owed their final answer
         self.defects = 0  # checks that fired: each is a defect of ours to find
         self.metrics = Metrics()
@@ -91,9 +91,9 @@
                 self.turned_away.append((request, Answer(REFUSED, outcome=SHUTDOWN)))
                 return True
             offer = request.offer = replace(offer, deadline_ns=self.shutdown.due_ns(offer.deadline_ns))
-        if self.door is not None:
+        if self.admission is not None:
             request.taken_ns = self.now
-            offer, refusal = self.door.enter(self.now, (id(front), line), offer)
+            offer, refusal = self.admission.enter(self.now, (id(front), line), offer)
             request.offer = offer
             if refusal is not None:
                 self.turned_away.append((request, refusal))
@@ -110,7 +110,11 @@
 
     def carries(self, class_name: str) -> bool:
         """Whether calls of the class can be taken at all."""
-        return self.door.carries(class_name) if self.door is not None else class_name in self.module.kinds
+        return (
+            self.admission.carries(class_name)
+            if self.admission is not None
+            else class_name in self.module.kinds
+        )
 
     def find(self, call: str) -> Request | None:
         return self.requests.get(self.by_call.get(call, -1))
@@ -162,8 +166,8 @@
         self.standing[desk.office] += 1
         self.unanswered -= 1
         self._settled(request)
-        if self.door is not None:
-            self.events += self.door.attempt_over(self.now, desk, "served", 0)
+        if self.admission is not None:
+            self.events += self.admission.attempt_over(self.now, desk, "served", 0)
         self._cancel(request, attempt)
         self.metrics.count("request.stands")
         call_event("request.stands", call, "stands at {server} after attempt {attempt}",
@@ -251,8 +255,8 @@
 
     def list_news(self, source: str, whole: bool, lines: Iterable[EndpointEntry]) -> None:
         """News of the exchange list, whichever source tells it."""
-        if self.door is not None:
-            source, whole, lines = self.door.listed(source, whole, lines)
+        if self.admission is not None:
+            source, whole, lines = self.admission.listed(source, whole, lines)
         usable = [told for told in lines if told.back in self.backs]
         changed = self.registry.apply(self.now, source, whole, usable)
         if not changed:
@@ -267,8 +271,8 @@
         )
         self.events.append(i.ExchangeList("update" if self.listed else "restored", entries))
         self.listed = True
-        if self.door is not None:
-            self.events += self.door.told(changed)
+        if self.admission is not None:
+            self.events += self.admission.told(changed)
         for desk in changed:
             if desk.told.exchange == self.settings.own_exchange:
                 continue  # nothing is ever sent to the own exchange
@@ -327,7 +331,7 @@
                 self.defects += 1
 
     def _turn_away(self) -> None:
-        """What the door did not let in gets its one answer in the turn in which it came."""
+        """What the admission controller did not let in gets its one answer in the turn in which it came."""
         refused, self.turned_away = self.turned_away, []
         for request, answer in refused:
             if self.requests.get(request.handle) is request:
@@ -367,8 +371,8 @@
                 request.attempts += 1
             self.events.append(i.AttemptEnded(call, office, number, "not_sent", 0, request is None, 0, None))
             return
-        if self.door is not None:
-            time_out = time_out or self.door.time_out_ns(request.offer)
+        if self.admission is not None:
+            time_out = time_out or self.admission.time_out_ns(request.offer)
         attempt = Attempt(request.attempts, desk, self.now)
         request.attempts += 1
         request.out = attempt
@@ -438,8 +442,8 @@
             attempt.timer.cancel()
         if outcome in PAUSED_AFTER:
             request.not_before = self.now + self.settings.release_ns
-        if self.door is not None:
-            self.events += self.door.attempt_over(self.now, attempt.desk, outcome, cause)
+        if self.admission is not None:
+            self.events += self.admission.attempt_over(self.now, attempt.desk, outcome, cause)
         self.events.append(
             i.AttemptEnded(
                 request.offer.call, attempt.desk.office, attempt.number, outcome,
@@ -476,10 +480,10 @@
             del self.ended[next(iter(self.ended))]
 
     def _settled(self, request: Request) -> None:
-        if request.let_in and self.door is not None:
+        if request.let_in and self.admission is not None:
             request.let_in = False
             line = (id(request.front), request.line)
-            self.door.settled(self.now, line, request.offer, self.now - request.taken_ns)
+            self.admission.settled(self.now, line, request.offer, self.now - request.taken_ns)
 
     def _back(self, desk: Endpoint) -> Back:
         return self.backs[desk.told.back]
--- a/arrowrail/core/requests.py
+++ b/arrowrail/core/requests.py
@@ -77,7 +77,7 @@
     timer: Deadline | None = None
     last: tuple[str, int] = ("", 0)  # outcome and cause of the last attempt
     taken_ns: int = 0
-    let_in: bool = False  # the door counts it until its final answer
+    let_in: bool = False  # the admission controller counts it until its final answer
 
 
 class Front(Protocol):
@@ -103,11 +103,12 @@
     def release(self, desk: Endpoint, call: str, cause: int) -> None: ...
 
 
-NO_ROUTE, OVER_LIMIT = "no_route", "over_limit"  # outcomes of set-ups that the door turns away
+# Outcomes of set-ups that admission turns away.
+NO_ROUTE, OVER_LIMIT = "no_route", "over_limit"
 SHUTDOWN = "shutdown"  # the outcome of requests that are cut off by the end of the process
 
 
-class Door(Protocol):
+class AdmissionController(Protocol):
     """What decides before the module, where an installation has it: routes, limits, the use of pools."""
 
     def enter(self, now: int, line: object, offer: Offer) -> tuple[Offer, Answer | None]:
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -25,8 +25,8 @@
 from arrowrail.lab.processes import ROOT, Crew, free_ports, listens, until
 from arrowrail.lab.simgroup import movement, traffic
 from arrowrail.lab.unlimited import NoLimits
+from arrowrail.sidecar.admission import RecordsAdmission
 from arrowrail.sidecar.compile import compile_
-from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
 from arrowrail.state.deadlines import Deadlines
 from arrowrail.state.endpoints import Endpoint
@@ -115,10 +115,10 @@
     quiet = Quiet(core)
     core.backs["binary"] = quiet  # type: ignore[assignment]
     core.fronts.append(quiet)
-    door = core.door = RecordsDoor(c, S)
+    admission = core.admission = RecordsAdmission(c, S)
     if not limited:
-        door.limiter = NoLimits(c.limits, S)
-    core.list_news(SOURCE, False, door.listing.use(c.lines))
+        admission.limiter = NoLimits(c.limits, S)
+    core.list_news(SOURCE, False, admission.listing.use(c.lines))
     core.turn()
     return core, quiet
 
@@ -151,7 +151,7 @@
     return {
         "us a call with limits": round(1e6 * statistics.median(took[0]) / count, 1),
         "us a call without": round(1e6 * statistics.median(took[1]) / count, 1),
-        "ratio between core and door": round(statistics.median(ratios), 3),
+        "ratio between core and admission": round(statistics.median(ratios), 3),
     }
 
 
--- a/arrowrail/lab/unlimited.py
+++ b/arrowrail/lab/unlimited.py
@@ -27,7 +27,7 @@
     if result.value is None:
         raise RuntimeError(result.faults)
     sidecar = Sidecar(result.value, folder, 1)
-    sidecar.door.limiter = NoLimits(result.value.limits, 0)
+    sidecar.admission.limiter = NoLimits(result.value.limits, 0)
     sidecar.run()
 
 
--- a/arrowrail/sidecar/door.py
+++ b/arrowrail/sidecar/admission.py
@@ -1,4 +1,4 @@
-"""The sidecar's door: joins limits, pools and list to what the core asks; each decides for itself."""
+"""The sidecar's admission: joins limits, pools and list to what the core asks; each decides for itself."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 NO_WAY = Answer(REFUSED, outcome=NO_ROUTE)
 
 
-class RecordsDoor:
+class RecordsAdmission:
     def __init__(self, compiled: Compiled, now: int) -> None:
         self.compiled = compiled
         self.limiter = Limiter(compiled.limits, now)
--- a/arrowrail/sidecar/compile.py
+++ b/arrowrail/sidecar/compile.py
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClassFacts:
-    """What the door needs to know of a class that the application brings in."""
+    """What the admission controller needs to know of a class that the application brings in."""
 
     name: str
     width: int
--- a/arrowrail/sidecar/main.py
+++ b/arrowrail/sidecar/main.py
@@ -17,8 +17,8 @@
 from arrowrail.run.main import Program
 from arrowrail.run.reading import Reading, read_now
 from arrowrail.run.result import Result
+from arrowrail.sidecar.admission import RecordsAdmission
 from arrowrail.sidecar.compile import Compiled
-from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import SOURCE
 from arrowrail.state.endpoints import IN_SERVICE
 from arrowrail.telemetry.events import event
@@ -36,13 +36,14 @@
 
 
 class Sidecar:
-    """One application's controller.  The decision module chooses; door, pools and limits come before it."""
+    """One application's controller.  The decision module chooses; admission, pools and limits come before
+    it."""
 
     def __init__(self, compiled: Compiled, folder: Path, seed: int, form: str | None = None) -> None:
         self.compiled = compiled
         self.program = Program(_config(compiled, seed))
         self.core: Core = self.program.core
-        self.door = self.core.door = RecordsDoor(compiled, self.program.loop.now)
+        self.admission = self.core.admission = RecordsAdmission(compiled, self.program.loop.now)
         self.program.front.most_callers = compiled.connections
         self.reading = Reading(self.program.loop, self._read)
         self.folder, self.form = folder, form  # the form of logs, where the command line names it
@@ -55,7 +56,7 @@
 
     def start(self) -> None:
         c, loop = self.compiled, self.program.loop
-        self.core.list_news(SOURCE, False, self.door.listing.use(c.lines))
+        self.core.list_news(SOURCE, False, self.admission.listing.use(c.lines))
         if c.links.source == "etcd":
             from arrowrail.wire.etcd.client import EtcdClient
 
@@ -143,7 +144,7 @@
             event("reload.worth", "{routes} count as of least worth until the next start", level="WARNING",
                   routes=unheard[:20])  # fmt: skip
         self.numbers |= {line.name: line.number for line in new.lines}
-        news, pools = self.door.use(new, self.program.loop.now)
+        news, pools = self.admission.use(new, self.program.loop.now)
         self.core.events += pools
         self.core.list_news(SOURCE, False, news)
         self.program.front.most_callers = new.connections
@@ -162,22 +163,22 @@
 
     def _tick(self) -> None:
         loop = self.program.loop
-        self.core.events += self.door.due(loop.now)
+        self.core.events += self.admission.due(loop.now)
         if self.group is not None:
             hints = self.group.instance.hints
             silent = [line.number for line in self.compiled.lines
                       if hints.verdict(loop.now, PROBE + line.name) == SILENT]  # fmt: skip
-            self.core.events += self.door.doubted(loop.now, silent)
+            self.core.events += self.admission.doubted(loop.now, silent)
         self._forget_emptied()
         self._release_orphans()
         loop.deadlines.at(loop.now + TICK_NS, self._tick)
 
     def _forget_emptied(self) -> None:
-        leaving = self.door.listing.leaving
+        leaving = self.admission.listing.leaving
         if not leaving:
             return
         busy = {r.out.desk.told.uid for r in self.core.requests if r.out is not None}
-        gone = self.door.listing.emptied([uid for uid in leaving if uid not in busy])
+        gone = self.admission.listing.emptied([uid for uid in leaving if uid not in busy])
         if gone:
             self.core.list_news(SOURCE, False, gone)
 
@@ -211,7 +212,7 @@
             links.point_code, links.routing_context, links.network_appearance, links.heartbeat_ns
         )
         circuits = max((line.circuits for line in c.lines), default=1)
-        self._any = (NumberRule("", -1),)  # the door knows where a number leads
+        self._any = (NumberRule("", -1),)  # the admission controller knows where a number leads
         self.back = M3uaBack(
             program.loop, program.core, settings, _rules(c), circuits, links.connect_time_out_ns
         )
--- a/arrowrail/wire/sip/front.py
+++ b/arrowrail/wire/sip/front.py
@@ -267,11 +267,11 @@
     def _invite(self, caller: Caller, message: sip.SipMessage) -> None:
         call = message.call_id
         try:
-            offer = read_invite(message, self.loop.now, self.core.door is not None)
+            offer = read_invite(message, self.loop.now, self.core.admission is not None)
             if not self.core.carries(offer.class_name):
                 raise ValueError("no such class")
             request = self.core.find(call)
-            if request is not None and not same_call(request.offer, offer, self.core.door is not None):
+            if request is not None and not same_call(request.offer, offer, self.core.admission is not None):
                 raise ValueError("the id of another call")
         except ValueError as wrong:
             self.malformed(caller, sip.Malformed(400, str(wrong), message, False))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,4 +1,5 @@
-"""The sidecar: the list of several sources, the door, reloads, and the whole of it on loopback sockets."""
+"""The sidecar: the list of several sources, admission, reloads, and the whole of it on loopback
+sockets."""
 
 from __future__ import annotations
 
@@ -23,8 +24,8 @@
 from arrowrail.run.reader import at_rest, controller, sidecar
 from arrowrail.run.reading import Reading, read_now
 from arrowrail.run.result import Result
+from arrowrail.sidecar.admission import RecordsAdmission
 from arrowrail.sidecar.compile import Compiled, compile_
-from arrowrail.sidecar.door import RecordsDoor
 from arrowrail.sidecar.listing import Listing
 from arrowrail.sidecar.main import Sidecar
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATED, TERMINATING, Endpoint, EndpointEntry
@@ -127,7 +128,8 @@
     }  # fmt: skip
 
 
-# --- The door ---------------------------------------------------------------------------------------------
+# --- Admission ---------------------------------------------------------------------------------------
+# ---------------------------------------------------------------------------------------------
 
 
 def offer(call: str = "c", kind: str = "alarm", number: str = "0921", **more: Any) -> Offer:
@@ -136,29 +138,31 @@
 
 def test_the_door_places_calls_and_turns_away_what_has_no_way_or_no_room(tmp_path: Path) -> None:
     c = compiled(tmp_path)
-    door = RecordsDoor(replace(c, limits=replace(c.limits, open=3)), T0)
-    door.book.told([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
-    placed, refusal = door.enter(T0, 1, offer())
+    admission = RecordsAdmission(replace(c, limits=replace(c.limits, open=3)), T0)
+    admission.book.told([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
+    placed, refusal = admission.enter(T0, 1, offer())
     assert refusal is None
     assert (placed.route, placed.destination, placed.width) == ("alarm@fukuoka", 1, 2)
     assert placed.deadline_ns == T0 + 3 * S  # the class's own give-up time bounds the caller's patience
-    assert door.enter(T0, 1, offer(number="077"))[1] == replace(door.enter(T0, 1, offer(kind="x"))[1])  # type: ignore[type-var]
-    answers = [door.enter(T0, 1, offer(str(n)))[1] for n in range(5)]
+    assert admission.enter(T0, 1, offer(number="077"))[1] == replace(
+        admission.enter(T0, 1, offer(kind="x"))[1]
+    )  # type: ignore[type-var]
+    answers = [admission.enter(T0, 1, offer(str(n)))[1] for n in range(5)]
     assert [a.outcome for a in answers if a] == [OVER_LIMIT] * 4
     assert all(a.kind == REFUSED and a.stay_away_ns > 0 for a in answers if a)
-    no_way = door.enter(T0, 1, offer(number="077"))[1]
-    assert no_way is not None and no_way.outcome == NO_ROUTE and door.time_out_ns(placed) == 1300 * MS
-    door.settled(T0 + S, 1, placed, S)
-    assert door.enter(T0 + S, 1, offer("again"))[1] is None
+    no_way = admission.enter(T0, 1, offer(number="077"))[1]
+    assert no_way is not None and no_way.outcome == NO_ROUTE and admission.time_out_ns(placed) == 1300 * MS
+    admission.settled(T0 + S, 1, placed, S)
+    assert admission.enter(T0 + S, 1, offer("again"))[1] is None
 
 
 def test_an_answer_to_a_call_of_our_own_outweighs_others_probes(tmp_path: Path) -> None:
-    door = RecordsDoor(compiled(tmp_path), T0)
-    door.book.told([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
+    admission = RecordsAdmission(compiled(tmp_path), T0)
+    admission.book.told([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
     told = EndpointEntry("f-1@127.0.0.1:6101", "127.0.0.1:6101", "z", 1, IN_SERVICE, 0)
-    door.attempt_over(T0, Endpoint(1, "site", told), "served", 0)
-    assert door.doubted(T0 + S, [1]) == []
-    news = door.doubted(T0 + 6 * S, [1])
+    admission.attempt_over(T0, Endpoint(1, "site", told), "served", 0)
+    assert admission.doubted(T0 + S, [1]) == []
+    news = admission.doubted(T0 + 6 * S, [1])
     assert {n.exchanges for n in news} == {(2,)} and len(news) == 2
 
 
@@ -323,8 +327,8 @@
         # Another connection of the application still has room.
         other = Caller(b.ports[0])
         invite(other, "f" * 16)
-        wait_until(lambda: b.sidecar.door.limiter.admitted >= 3)
-        assert link is not None and b.sidecar.door.refused
+        wait_until(lambda: b.sidecar.admission.limiter.admitted >= 3)
+        assert link is not None and b.sidecar.admission.refused
 
 
 def test_a_reload_moves_an_exchange_while_a_set_up_is_out_on_it(tmp_path: Path) -> None:
@@ -358,7 +362,7 @@
         for n in range(3):
             stands(caller, links["f-2"], f"{n:016x}")
         uid = f"f-1@{b.exchanges['f-1'].address}"
-        assert list(b.sidecar.door.listing.leaving) == [uid]
+        assert list(b.sidecar.admission.listing.leaving) == [uid]
         tell(links["f-1"], binary.RELEASE, "a" * 16, cause=16)
         assert caller.bye("a" * 16)
         assert links["f-1"].closed()  # nothing stands there any more: it is let go
@@ -369,7 +373,7 @@
         links = {name: b.exchanges[name].desk() for name in b.exchanges}
         news = [EndpointEntry(n, "", "z", 0, TERMINATING, 0) for n in ("f-1", "f-2")]
         b.sidecar.program.loop.deadlines.at(0, lambda: b.sidecar.core.list_news("bus", False, news))
-        wait_until(lambda: b.sidecar.door.book.allowed("alarm@fukuoka").pools == ("k",))
+        wait_until(lambda: b.sidecar.admission.book.allowed("alarm@fukuoka").pools == ("k",))
         invite(caller, "a" * 16)
         set_up(links["k-1"], "a" * 16)
 
