Let only what was set up before an interruption prove the old process

Change: only calls set up by the last contact before the interruption prove the old process, and only those are given up; the time of the return is no longer kept.

--- a/arrowrail/failure_detection/endpoint.py
+++ b/arrowrail/failure_detection/endpoint.py
@@ -57,14 +57,13 @@
 
     __slots__ = (
         "_contact_ns", "_failed_checks", "_given_up", "_greetings", "_interrupted_ns", "_refused_ns",
-        "_resets", "_returned_ns",
+        "_resets",
     )  # fmt: skip
 
     def __init__(self, now: int, resets_on_restart: bool = False) -> None:
         self._contact_ns = now
         self._failed_checks = 0
         self._interrupted_ns = 0  # the last contact before the interruption; 0: there is none
-        self._returned_ns = 0  # when something came up again after it; 0: nothing did
         self._refused_ns = 0  # since when connections are refused; 0: they are not
         self._given_up = False  # its calls were given up, and nothing came from it since
         self._greetings = 0  # connections in a row on which the server spoke at once
@@ -84,7 +83,7 @@
     def heard_of_call(self, now: int, set_up_ns: int) -> None:
         """The server answered or released a call that was set up at that time."""
         self._contact(now)
-        if not self._returned_ns or set_up_ns < self._returned_ns:
+        if set_up_ns <= self._interrupted_ns:
             self._interrupted_ns = 0
 
     def greeted(self, now: int, opened_ns: int) -> None:
@@ -106,8 +105,6 @@
         if self._resets:
             self._contact(now)
             self._interrupted_ns = 0
-        elif self._interrupted_ns and not self._returned_ns:
-            self._returned_ns = now
 
     def check_failed(self, now: int) -> None:
         """A connection did not come up in time."""
@@ -137,9 +134,15 @@
             return Loss(REFUSED, 0)
         if not self._interrupted_ns or now - self._interrupted_ns < SILENCE_LIMIT_NS:
             return None
-        self._interrupted_ns = 0
-        self._given_up = not self._returned_ns
-        return Loss(RESTARTED if self._returned_ns else UNREACHABLE, self._returned_ns)
+        # What stood before the interruption; a later answer is of the process that is there now.
+        loss = Loss(UNREACHABLE if self._silent else RESTARTED, self._interrupted_ns + 1)
+        self._given_up, self._interrupted_ns = self._silent, 0
+        return loss
+
+    @property
+    def _silent(self) -> bool:
+        """Whether nothing has come since the interruption."""
+        return self._contact_ns <= self._interrupted_ns
 
     def _contact(self, now: int) -> None:
         self._contact_ns = now
@@ -152,4 +155,3 @@
             return
         if not self._interrupted_ns:
             self._interrupted_ns = self._contact_ns
-        self._returned_ns = 0  # what came up meanwhile is out of reach again
