--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -208,9 +208,9 @@
     def server_lost(self, desk: Endpoint, reason: str, before_ns: int = 0) -> None:
         """The server is not there any more: what stood is over, what was out is lost.
 
-        With ``before_ns``, only what was answered before that time, or sent where it is not answered: a set-up
-        may wait for a connection, and is answered by whoever is there when it comes up.  The server is told as well, for where it is
-        only out of reach it must not hold on to what is over here.
+        With ``before_ns``, only what was answered before that time, or sent where it is not answered: a
+        set-up may wait for a connection, and is answered by whoever is there when it comes up.  The server is
+        told as well, for where it is only out of reach it must not hold on to what is over here.
         """
         cut: list[str] = []
         for request in self.requests:
--- a/arrowrail/run/log.py
+++ b/arrowrail/run/log.py
@@ -8,6 +8,8 @@
 import orjson
 from loguru import logger
 
+from arrowrail.telemetry.events import CALL_LEVEL, log_calls
+
 if TYPE_CHECKING:
     from loguru import Message
 
@@ -17,6 +19,7 @@
 def log_to(level: str, form: str = TEXT) -> None:
     """Log from that level on, in one of the two forms."""
     logger.remove()
+    log_calls(logger.level(level).no <= logger.level(CALL_LEVEL).no)
     if form == JSON:
         logger.add(_json, level=level, backtrace=False, diagnose=False, format="{message}")
     else:
--- a/arrowrail/telemetry/events.py
+++ b/arrowrail/telemetry/events.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 CALL_LEVEL = "DEBUG"
+_calls_logged = True  # until a level is set
 MOST_IDS = 20  # call ids named in one line; the line also carries their number
 
 
@@ -20,8 +21,16 @@
     logger.opt(depth=1).bind(event=name, **fields).log(level, text, **fields)
 
 
+def log_calls(wanted: bool) -> None:
+    """Whether events of single calls are logged; where not, they cost next to nothing."""
+    global _calls_logged
+    _calls_logged = wanted
+
+
 def call_event(name: str, call: str, text: str, **fields: Any) -> None:
     """Log a state transition of one call; ``call`` is its 16-digit id."""
+    if not _calls_logged:
+        return
     logger.opt(depth=1).bind(event=name, call=call, **fields).log(
         CALL_LEVEL, "call {call}: " + text, call=call, **fields
     )
