--- a/arrowrail/wire/sip/front.py
+++ b/arrowrail/wire/sip/front.py
@@ -10,9 +10,9 @@
 from arrowrail.core.requests import FAILED, MS, NO_ROUTE, REFUSED, STANDS, Answer, Offer, Request
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
-from arrowrail.telemetry.events import call_event, event, some_ids
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.sip import messages as sip
+from arrowrail.wire.sip.releases import ReleaseDelivery
 from arrowrail.wire.stream import Stream
 from arrowrail.wire.unfinished import Tally, Unfinished
 
@@ -23,9 +23,6 @@
 LEFT_IDLE_NS = 5_000 * MS  # callers close after 4 s with no call: who is still there holds it for good
 SPEAK_NS = 250 * MS  # how long a caller may take to begin its first message before its place is wanted
 SWEEP_NS = 1_000 * MS
-RELEASE_KEPT_NS = 8_000 * MS  # how long a release waits for a connection to go out on
-PATIENCE_NS = 250 * MS  # how long a release waits for a better connection, twice at most
-CROSSING_NS = 2_000 * MS  # how long a release that went out may have crossed its connection's close
 RESERVED = 80  # descriptors kept for desk exchanges (a dozen in fours), the list and the process itself
 
 
@@ -94,18 +91,6 @@
     standing: bool = False
 
 
-@dataclass(slots=True)
-class Releasing:
-    """A release on its way; ``line`` 0: no connection has taken it yet."""
-
-    call: str
-    message: bytes
-    since: int
-    until: int
-    line: int = 0
-    trust: int = 0  # of the connection that took it
-
-
 @dataclass(slots=True)
 class SipFront:
     loop: Loop
@@ -114,14 +99,14 @@
     max_sockets: int
     callers: SlotTable[Caller] = field(default_factory=SlotTable)
     dialogs: dict[str, Dialog] = field(default_factory=dict)
-    releasing: dict[str, Releasing] = field(default_factory=dict)
     listener: Listener | None = None
     accepted: int = 0
     most_callers: int = 0  # connections at a time, where a limit is set; 0: what descriptors leave
-    _again_at: int = 0  # when releases that wait are looked at again
     malformed_seen: Tally = field(init=False)
+    releases: ReleaseDelivery = field(init=False)
 
     def __post_init__(self) -> None:
+        self.releases = ReleaseDelivery(self.loop, self.core, self.callers)
         self.malformed_seen = Tally(self.loop)
 
     def start(self) -> None:
@@ -133,7 +118,7 @@
 
     def _accepted(self, sock: socket.socket) -> None:
         Caller(self, sock)  # the loop holds on to it
-        self._deliver()
+        self.releases.deliver()
 
     def _room(self) -> bool:
         if self.most_callers:
@@ -190,22 +175,11 @@
             idle = not caller.open_calls and now - caller.idle_since > IDLE_NS
             if idle and not caller.stream.unread:
                 self._close(caller)
-        self._give_up_releases(now)
+        self.releases.expire(now)
         if self.listener is not None:
             self.listener.resume()
         self.loop.deadlines.at(now + SWEEP_NS, self._sweep)
 
-    def _give_up_releases(self, now: int) -> None:
-        """Forget the releases that found no connection for too long, and those that had time to arrive."""
-        unheard = [
-            call for call, release in self.releasing.items() if release.until <= now and not release.line
-        ]
-        if unheard:
-            self.core.metrics.count("release.undelivered", amount=len(unheard))
-            event("release.undelivered", "{calls} releases found no caller to go to: {ids}", level="WARNING",
-                  calls=len(unheard), ids=some_ids(unheard))  # fmt: skip
-        self.releasing = {call: r for call, r in self.releasing.items() if r.until > now}
-
     def gone(self, caller: Caller) -> None:
         if self.callers.remove(caller.handle) is None:
             return
@@ -214,11 +188,8 @@
             self.dialogs.pop(call, None)
             self.core.caller_gone(call)
         caller.open_calls = set()
-        # Guards against a release lost with a connection that its caller closed while it was on its way.
-        for release in self.releasing.values():
-            if release.line == caller.handle:
-                release.line = 0
-        self._deliver()
+        self.releases.connection_gone(caller.handle)
+        self.releases.deliver()
         if self.listener is not None:
             self.listener.resume()
 
@@ -240,7 +211,7 @@
     def message(self, caller: Caller, message: sip.SipMessage) -> None:
         if message.status or message.method in ("ACK", "NOTIFY"):
             if message.cseq_method == "BYE":
-                self.releasing.pop(message.call_id, None)  # heard
+                self.releases.heard(message.call_id)
             return
         if not message.call_id or not message.cseq_method:
             self.malformed(caller, sip.Malformed(400, "no Call-ID or CSeq", message, False))
@@ -319,7 +290,7 @@
                 caller.stream.send(data)
                 if not caller.stood:
                     caller.stood = True
-                    self._deliver()
+                    self.releases.deliver()
             return
         extra = [("X-Later-Ms", str(-(-answer.stay_away_ns // MS)))] if answer.stay_away_ns > 0 else []
         status = 404 if answer.outcome == NO_ROUTE else STATUS[answer.kind]
@@ -343,42 +314,7 @@
     def _bye(self, call: str, uri: str, cause: int, caller: Caller | None) -> None:
         """No connection owns a call that stands: any will do, and else the next that opens."""
         data = sip.request("BYE", uri, self.address, call, 1, (("Reason", f"Q.850;cause={cause}"),))
-        now = self.loop.now
-        release = self.releasing[call] = Releasing(call, data, now, now + RELEASE_KEPT_NS)
-        if caller is not None and caller.stream.open:
-            self._hand_over(release, caller)
-        else:
-            self._deliver()
-
-    def _hand_over(self, release: Releasing, caller: Caller) -> None:
-        release.line, release.trust = caller.handle, caller.trust
-        if caller.stood:
-            release.until = min(release.until, self.loop.now + CROSSING_NS)
-        call_event("release.sent", release.call, "release written to connection {connection}",
-                   connection=caller.serial)  # fmt: skip
-        caller.stream.send(release.message)
-
-    def _deliver(self) -> None:
-        """What waits for a connection goes out on the best one open, and again once there is a better.
-
-        Guards against releases handed to those who hold connections and are no callers: a connection on which
-        a call was answered is believed at once, one that asked for something or has just come after a while.
-        """
-        if not self.releasing:
-            return
-        now = self.loop.now
-        open_ = [c for c in self.callers if c.stream.open]
-        best = max(open_, key=lambda c: (c.trust, c.idle_since), default=None)
-        again = False
-        for release in self.releasing.values():
-            if release.line and (best is None or release.trust >= best.trust):
-                continue
-            if best is not None and now - release.since >= (2 - best.trust) * PATIENCE_NS:
-                self._hand_over(release, best)
-            again = again or (best is not None and not release.line)
-        if again and self._again_at <= now:
-            self._again_at = now + PATIENCE_NS
-            self.loop.deadlines.at(self._again_at, self._deliver)
+        self.releases.send(call, data, caller)
 
     @property
     def connections(self) -> int:
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -195,7 +195,7 @@
         other.sock.close()
         run.until(lambda: not len(run.program.front.callers))
         tell(peer, binary.RELEASE, C, cause=16)
-        run.until(lambda: run.program.front.releasing)
+        run.until(lambda: run.program.front.releases.pending)
         third = Caller(run.port)
         assert third.bye(C).call_id == C  # on the next that opens
         third.sock.close()  # before it confirmed: the release may have crossed the close
