--- a/arrowrail/lab/soak/history.py
+++ b/arrowrail/lab/soak/history.py
@@ -284,10 +284,12 @@
 def _fault(history: History, route: str, line: Line) -> None:
     if line["do"] == "reset":
         return
-    for span in history.faults[route]:
-        span.until = span.until or line["t"]
-    if line["do"] != "pass":
-        history.faults[route].append(Span(line["t"]))
+    spans = history.faults[route]
+    lasting = bool(spans) and not spans[-1].until
+    if line["do"] == "pass" and lasting:
+        spans[-1].until = line["t"]
+    elif line["do"] != "pass" and not lasting:
+        spans.append(Span(line["t"]))  # one fault that follows another is one time out of reach
 
 
 def _server_at(routes: dict[str, list[tuple[int, str]]], route: str, at: int) -> str:
--- a/arrowrail/wire/sip/releases.py
+++ b/arrowrail/wire/sip/releases.py
@@ -1,8 +1,8 @@
 """Delivery of releases to callers: no connection owns a call that stands, so the best that is open is taken.
 
 A release goes out on the call's own connection if that is open, else on one on which calls were answered
-before, and after a while on whatever is open.  It is sent again when its connection is lost before it can have
-arrived.
+before, and after a while on whatever is open.  It is sent again when its connection is lost before it can
+have arrived.
 """
 
 from __future__ import annotations
