--- a/arrowrail/loop.py
+++ b/arrowrail/loop.py
@@ -25,7 +25,10 @@
         # Monotonic, anchored to Unix time once: list times compare with it, and it never steps back.
         self._anchor = time.time_ns() - time.monotonic_ns()
         self.leaving: dict[Any, None] = {}  # streams that were told their last word, oldest first
-        self.deadlines = Deadlines(self._anchor + time.monotonic_ns())
+        self.deadlines = Deadlines(self._clock(), self._clock)
+
+    def _clock(self) -> int:
+        return self._anchor + time.monotonic_ns()
 
     @property
     def now(self) -> int:
@@ -46,10 +49,10 @@
         wait_ns = 0
         if not at_once:
             due = self.deadlines.next_at()
-            now = self._anchor + time.monotonic_ns()
+            now = self._clock()
             wait_ns = LONGEST_SLEEP_NS if due is None else max(0, min(due - now, LONGEST_SLEEP_NS))
         ready = self._selector.select(wait_ns / 1e9)
-        self.deadlines.now = self._anchor + time.monotonic_ns()
+        self.deadlines.now = self._clock()
         for key, mask in ready:
             if self._selector.get_map().get(key.fd) is not key:
                 continue  # closed or changed by an earlier one of this turn
--- a/arrowrail/state/deadlines.py
+++ b/arrowrail/state/deadlines.py
@@ -23,16 +23,22 @@
 class Deadlines:
     """A heap by time, then by order of entry, so that equal times run as they were set."""
 
-    __slots__ = ("_heap", "_order", "now")
+    __slots__ = ("_clock", "_heap", "_order", "now")
 
-    def __init__(self, now: int = 0) -> None:
-        self.now = now  # the one clock: read by the loop, once a turn
+    def __init__(self, now: int = 0, clock: Callable[[], int] | None = None) -> None:
+        self.now = now  # the one clock: read by the loop once a turn, and by ``refresh``
+        self._clock = clock
         self._heap: list[tuple[int, int, Deadline]] = []
         self._order = 0
 
     def __len__(self) -> int:
         return len(self._heap)
 
+    def refresh(self) -> None:
+        """Read the clock within a turn, where a pause is to count from what has just been written."""
+        if self._clock is not None:
+            self.now = max(self.now, self._clock())
+
     def at(self, when: int, act: Callable[[], None]) -> Deadline:
         deadline = Deadline(when, act)
         self._order += 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -121,6 +121,15 @@
     assert bench.act(to(2), at_ms=305)
 
 
+def test_the_release_pause_counts_from_the_end_of_a_long_turn() -> None:
+    bench = Bench()
+    bench.core.deadlines = Deadlines(1, lambda: 90 * MS)  # what the clock says while the turn is under way
+    bench.act(to(1))
+    bench.lose(1, "no_answer")
+    assert bench.act(to(2), at_ms=385) == [] and bench.core.defects == 1
+    assert bench.act(to(2), at_ms=395)
+
+
 @pytest.mark.parametrize("state", ["terminating", "terminated"])
 def test_nothing_goes_to_a_draining_exchange_past_the_grace(state: str) -> None:
     bench = Bench()
