--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -445,7 +445,8 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         if outcome in PAUSED_AFTER:
-            # Guards the pause in a long turn: it counts from when the end was written, not from the turn's start.
+            # Guards the pause in a long turn: it counts from when the end was written, not from the turn's
+            # start.
             self.deadlines.refresh()
             request.not_before = self.now + self.settings.release_ns
         if self.admission is not None:
