--- a/arrowrail/lab/soak/plan.py
+++ b/arrowrail/lab/soak/plan.py
@@ -34,7 +34,11 @@
     ("discovery_vanish", "vanish_for_good"), ("discovery_refuse", "drain"), ("discovery_hang", "replace"),
     ("discovery_refuse", "die"), ("hang", "restart"), ("silent", "restart"),
 )  # fmt: skip
-TOGETHER_S = (1.5, 7.0)  # how long the first lasts
+# How long each lasts: news that discovery could not tell falls due 6 s after it is back, while its server
+# drains.
+DISCOVERY_AWAY_S = (1.5, 4.0)
+TOGETHER_S = (4.0, 7.0)
+SECOND_S = (6.0, LONGEST_FAULT_S)
 FOLLOWS_S = (0.3, 1.5)  # how long after it the second begins
 ONCE = ("vanish_for_good", "die", "drain", "replace", "restart", "kill")  # at most once for each target
 
@@ -126,8 +130,8 @@
     first, second = source.choice(TOGETHER)
     at = source.uniform(FIRST_FAULT_S, plan.seconds / 2)
     drawn = [
-        (first, at, source.uniform(*TOGETHER_S)),
-        (second, at + source.uniform(*FOLLOWS_S), source.uniform(0.5, LONGEST_FAULT_S)),
+        (first, at, source.uniform(*(DISCOVERY_AWAY_S if first in DISCOVERY_FAULTS else TOGETHER_S))),
+        (second, at + source.uniform(*FOLLOWS_S), source.uniform(*SECOND_S)),
     ]
     kinds = [*SERVER_FAULTS, *DISCOVERY_FAULTS, *CONTROLLER_FAULTS, *CALLER_FAULTS]
     weights = [WEIGHTS.get(kind, 1) for kind in kinds]
