Keep connections to draining servers for the first minute after a start

Change: for 60 s after our start a draining server's connections stay until it is removed, as before the term on drains.

--- a/arrowrail/wire/desk/back.py
+++ b/arrowrail/wire/desk/back.py
@@ -30,6 +30,7 @@
         self.unreadable_seen = Tally(loop)
         self.probes: dict[int, tuple[Callable[[bool], None], Deadline]] = {}  # tests that are out
         self._tests = 0
+        self.started_ns = loop.now
         core.backs["binary"] = self
         self.loop.deadlines.at(self.loop.now + SWEEP_NS, self._sweep)
 
--- a/arrowrail/wire/desk/pool.py
+++ b/arrowrail/wire/desk/pool.py
@@ -5,7 +5,7 @@
 import errno
 from typing import TYPE_CHECKING
 
-from arrowrail.core.requests import LINK_BROKE, Q850_NORMAL
+from arrowrail.core.requests import LINK_BROKE, MS, Q850_NORMAL
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATING, Endpoint
 from arrowrail.wire.desk import binary
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from arrowrail.wire.desk.back import DeskBack
 
+# After our start, calls of the process before may stand at any server, which tells of their ends here.
+CALLS_BEFORE_NS = 60_000 * MS
 MOST_PENDING = 200  # releases that wait for a connection, and set-ups given up lately, of one server
 
 
@@ -82,6 +84,8 @@
         """Whether connections are wanted: a server that drains keeps its own while anything is left on it."""
         state = self.desk.told.state
         if state == TERMINATING:
+            if self.back.loop.now < self.back.started_ns + CALLS_BEFORE_NS:
+                return True
             left = (
                 self.unknown_calls
                 or self.pending_releases
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -19,6 +19,7 @@
 
 from arrowrail.wire.bus import client as bus_client
 from arrowrail.wire.desk import binary
+from arrowrail.wire.desk import pool as desk_pool
 from arrowrail.wire.sip import front as sip_front
 from tests.live import (
     SDP,
@@ -346,7 +347,10 @@
         set_up(successor, B)
 
 
-def test_a_drained_connection_stays_until_its_calls_are_over_and_is_closed_then() -> None:
+def test_a_drained_connection_stays_until_its_calls_are_over_and_is_closed_then(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(desk_pool, "CALLS_BEFORE_NS", 0)  # no call of a process before this one
     desk, bus = Listening(), BusStand()
     with running(target("d1", desk.address, 1), bus=bus.port.address) as run:
         bus.accept()
