Release calls of a server whose address the list gives to another one

Cause: data on any connection counted as contact with the server listed first, and an entry of another server at the very same address changed nothing (Core.update_endpoints compares start times under one uid only).

Change: failure_detection/identity.py decides what confirms the process that holds the calls: data on a connection opened before the last confirmation, or the release of a call of before. failure_detection/address_reuse.py finds the entries whose address a server with a later start has; both backends ask it for any source of the list. If the predecessor was not heard since that start, its calls are over at once; if it was, it has the usual limit.

Why it works: a listening address has one process at a time, and the list says since when it is another one.

Some tests of test_failure_detection pass the answer time of a call where they passed that of its set-up: a set-up can wait for the new process's connection, so its time proves nothing. The expected results are unchanged. test_core's six entries shared one address by accident and now have one each.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -31,8 +30,10 @@
     SetUpParams,
 )
 from arrowrail.core.rules import violated_rule
+from arrowrail.failure_detection.address_reuse import find_predecessors
 from arrowrail.shutdown.plan import ShutdownPlan
 from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
+from arrowrail.state.established_calls import EstablishedCalls
 from arrowrail.state.slots import SlotTable
 from arrowrail.state.timers import TimerQueue
 from arrowrail.telemetry.events import call_event, event, first_ids
@@ -69,7 +70,7 @@
         self.internal_errors = 0  # failed internal checks; each indicates a bug in this program
         self.metrics = Metrics()
         self.shutdown_plan: ShutdownPlan | None = None  # set once shutdown has begun
-        self.established_calls: Counter[int] = Counter()  # number of calls by endpoint id
+        self.established_calls = EstablishedCalls()
 
     @property
     def now(self) -> int:
@@ -174,7 +175,7 @@
             return  # duplicate answer
         request.established = True
         attempt.answered_ns = self.now
-        self.established_calls[endpoint.endpoint_id] += 1
+        self.established_calls.add(endpoint.endpoint_id, call_id, self.now, request.params.width)
         self.unanswered -= 1
         self._set_up_finished(request)
         if self.admission is not None:
@@ -272,15 +273,6 @@
             and request.current_attempt.endpoint is endpoint
         )
 
-    def attempt_sent_ns(self, call_id: str) -> int:
-        """When the call's pending or established attempt was sent; 0 if there is none."""
-        request = self.find(call_id)
-        return (
-            request.current_attempt.sent_ns
-            if request is not None and request.current_attempt is not None
-            else 0
-        )
-
     def trunk_group_changed(self, endpoint: Endpoint, free: float, size: float) -> None:
         self.events.append(
             interface.TrunkGroupReport(
@@ -329,6 +321,11 @@
                 # A process restarted under the same uid knows nothing of calls sent to its predecessor; they
                 # would never be released otherwise.
                 self.endpoint_lost(endpoint, "started_anew", endpoint.entry.started_ns)
+        for predecessor, started_ns in find_predecessors(changed, self.registry.endpoints.values()):
+            event("server.address_taken", "another server is at the address of {server}, since {ago_ms} ms",
+                  server=predecessor.entry.uid, endpoint=predecessor.entry.address,
+                  ago_ms=(self.now - started_ns) // MS)  # fmt: skip
+            self._backend(predecessor).address_taken(predecessor, started_ns)
 
     def begin_shutdown(self, plan: ShutdownPlan) -> None:
         """Begin the shutdown: from now on, no request is answered later than the plan allows."""
@@ -513,9 +510,7 @@
 
     def _call_ended(self, request: Request, attempt: Attempt, outcome: str, ended_by: str) -> None:
         """End an established call; ``ended_by`` is a counter label."""
-        self.established_calls[attempt.endpoint.endpoint_id] -= 1
-        if not self.established_calls[attempt.endpoint.endpoint_id]:
-            del self.established_calls[attempt.endpoint.endpoint_id]
+        self.established_calls.remove(attempt.endpoint.endpoint_id, request.params.call_id)
         self.metrics.count("call.over", ended_by)
         call_event("call.over", request.params.call_id, "ended at {server} by {ended_by}",
                    server=attempt.endpoint.entry.uid, ended_by=ended_by)  # fmt: skip
--- a/arrowrail/core/requests.py
+++ b/arrowrail/core/requests.py
@@ -113,6 +113,8 @@
         """Drop the set-up if it is still queued, else cancel it at the endpoint."""
 
     def release(self, endpoint: Endpoint, call_id: str, cause: int) -> None: ...
+    def address_taken(self, endpoint: Endpoint, started_ns: int) -> None:
+        """The list has another server at the endpoint's address, which started at ``started_ns``."""
 
 
 # Outcomes of set-ups that are refused before the decision module sees them.
--- a/arrowrail/failure_detection/endpoint.py
+++ b/arrowrail/failure_detection/endpoint.py
@@ -1,4 +1,4 @@
-"""Decides from passive observations and connection checks whether an endpoint still holds its calls.
+"""Decides from passive observations and connection checks whether an endpoint can still be reached.
 
 A server that vanishes leaves its connections open and silent, and new connections are never accepted.
 Discovery may report this late, or be down itself.  Callers still have to be sent the release of their calls
@@ -6,12 +6,12 @@
 
 The evidence, strongest first:
 
-- A message about a call set up before an interruption, or data on a connection opened before it: the same
+- The release of a call answered before an interruption, or data on a connection opened before it: the same
   process is still running, and its calls go on.
 - A new connection that is accepted: some process is there.  If the server used to send data at once on new
   connections, such as its state, a connection without such a greeting proves nothing: connections to a
-  hanging process are accepted, too.  After an interruption it may be a new process at the same address, which
-  knows nothing of the earlier calls.
+  hanging process are accepted, too.  It may be a new process at the same address, which knows nothing of the
+  earlier calls: ``identity`` decides that where no interruption was noticed.
 - Two connections in a row that time out or bring no greeting, or one that is refused while no other is open:
   an interruption.  One is not enough, since single connections get lost on the way to healthy servers.
 
@@ -21,13 +21,17 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
-MS = 1_000_000
-# Document PROTOCOL: from the end of a call until its caller must have been sent the release.
-RELEASE_LIMIT_NS = 8_000 * MS
-RELEASE_RESERVE_NS = 800 * MS  # for detection, and for sending the release to the caller
-SILENCE_LIMIT_NS = RELEASE_LIMIT_NS - RELEASE_RESERVE_NS
+from arrowrail.failure_detection.call_loss import (
+    MS,
+    REFUSED,
+    RESTARTED,
+    SILENCE_LIMIT_NS,
+    UNREACHABLE,
+    CallLoss,
+)
+from arrowrail.failure_detection.identity import ProcessIdentity
+
 # With established calls, how long a server may be silent before a connection check.  A shorter time means a
 # more recent last contact when the server vanishes, and a longer outage that its calls survive: 6 s with this
 # value.
@@ -39,16 +43,6 @@
 MAX_FAILED_CHECKS = 2  # in a row, until an interruption is assumed
 REFUSED_TIMEOUT_NS = 2_000 * MS  # a process that merely restarts its listener keeps its calls
 
-UNREACHABLE, RESTARTED, REFUSED = "unreachable", "not_the_same_process", "refused"
-
-
-@dataclass(frozen=True, slots=True)
-class CallLoss:
-    """Established calls at an endpoint that have to be released: their server is gone."""
-
-    reason: str
-    before_ns: int  # only calls set up before that time; 0: all
-
 
 class EndpointMonitor:
     """Tracks the contacts with one endpoint and reports when its calls are lost.
@@ -65,9 +59,11 @@
         "_last_contact_ns",
         "_refused_since_ns",
         "_resets_on_restart",
+        "identity",
     )  # fmt: skip
 
     def __init__(self, now: int, resets_on_restart: bool = False) -> None:
+        self.identity = ProcessIdentity(now)
         self._last_contact_ns = now
         self._failed_checks = 0
         self._interrupted_ns = 0  # last contact before the current interruption; 0: no interruption
@@ -81,16 +77,22 @@
         """Whether it is unknown if the earlier calls still exist."""
         return self._interrupted_ns > 0
 
-    def data_received(self, now: int, opened_ns: int) -> None:
-        """Data arrived on a connection that was opened at ``opened_ns``."""
+    def data_received(self, now: int, opened_ns: int, oldest_call_ns: int) -> None:
+        """Data arrived on a connection that was opened at ``opened_ns``.
+
+        ``oldest_call_ns``: when the oldest established call was answered; 0: there is none.
+        """
+        if not self.identity.data_received(now, opened_ns, oldest_call_ns):
+            return
         self._record_contact(now)
         if opened_ns <= self._interrupted_ns:
             self._interrupted_ns = 0
 
-    def call_confirmed(self, now: int, set_up_ns: int) -> None:
-        """The server answered or released a call that was set up at ``set_up_ns``."""
+    def call_released(self, now: int, answered_ns: int) -> None:
+        """The server released a call that it had answered at ``answered_ns``."""
+        self.identity.call_released(now, answered_ns)
         self._record_contact(now)
-        if set_up_ns <= self._interrupted_ns:
+        if answered_ns <= self._interrupted_ns:
             self._interrupted_ns = 0
 
     def greeting_received(self, now: int, opened_ns: int) -> None:
@@ -107,6 +109,8 @@
 
     def connected(self, now: int) -> None:
         """A connection was opened."""
+        if self.identity.replaced:
+            return
         if self._greeting_count < MIN_GREETINGS:
             self._record_contact(now)
         if self._resets_on_restart:
@@ -133,12 +137,17 @@
 
         ``pending``: start times of the checks without a result, oldest first.
         """
+        if self.identity.replaced:
+            return False  # the check would reach the server that has taken the address
         if now - self._last_contact_ns < CHECK_IDLE_NS or len(pending) >= MAX_FAILED_CHECKS:
             return False
         return not pending or now - pending[0] >= SECOND_CHECK_DELAY_NS
 
     def detect_loss(self, now: int) -> CallLoss | None:
-        """Return the calls that are lost, once per interruption."""
+        """Return the calls that are lost, once per interruption or replacement."""
+        loss = self.identity.detect_loss(now)
+        if loss is not None:
+            return loss
         if self._calls_lost:
             return None
         if self._refused_since_ns and now - self._refused_since_ns > REFUSED_TIMEOUT_NS:
--- a/arrowrail/wire/binary/backend.py
+++ b/arrowrail/wire/binary/backend.py
@@ -122,6 +122,12 @@
         if pool is not None:
             pool.release(call_id, cause)
 
+    def address_taken(self, endpoint: Endpoint, started_ns: int) -> None:
+        pool = self.pools.get(endpoint.endpoint_id)
+        if pool is not None:
+            pool.monitor.identity.address_taken(self.loop.now, started_ns)
+            pool.check_server()
+
     def probe(
         self, endpoint: Endpoint, fencing_token: str, timeout_ns: int, on_result: Callable[[bool], None]
     ) -> bool:
@@ -160,12 +166,10 @@
                 )
                 return
             connection.pending_set_ups.pop(call_id, None)
-            sent_ns = self.core.attempt_sent_ns(call_id)
-            if sent_ns:
-                connection.pool.monitor.call_confirmed(self.loop.now, sent_ns)
         if message.message_type == binary.ANSWER:
             self.core.endpoint_answered(connection.endpoint, call_id, message.session_description)
         elif message.message_type == binary.RELEASE:
+            connection.pool.call_released(call_id)
             self.core.endpoint_released(connection.endpoint, call_id, release_outcome(message), message.cause)
             if connection.stream is not None:
                 connection.stream.send(binary.encode(BinaryMessage(binary.RELEASE_ACK, message.call_id)))
--- a/arrowrail/wire/binary/connection.py
+++ b/arrowrail/wire/binary/connection.py
@@ -90,7 +90,7 @@
 
     def received(self, data: bytes) -> None:
         now, monitor = self.pool.backend.loop.now, self.pool.monitor
-        monitor.data_received(now, self.opened_ns)
+        monitor.data_received(now, self.opened_ns, self.pool.oldest_call_ns)
         if not self.has_received:
             self.has_received = True
             monitor.greeting_received(now, self.opened_ns)
--- a/arrowrail/wire/binary/pool.py
+++ b/arrowrail/wire/binary/pool.py
@@ -8,6 +8,7 @@
 from arrowrail.core.requests import CAUSE_CONNECTION_FAILED, MS, Q850_NORMAL_CLEARING
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATING, Endpoint
+from arrowrail.state.established_calls import EstablishedCalls
 from arrowrail.wire.binary import messages as binary
 from arrowrail.wire.binary.connection import (
     ClosingConnection,
@@ -98,9 +99,24 @@
                 or self.pending_releases
                 or any(connection.pending_set_ups for connection in self.connections)
             )
-            return bool(pending or self.backend.core.established_calls[self.endpoint.endpoint_id])
+            return bool(pending or self.established_calls.count(self.endpoint.endpoint_id))
         return state == IN_SERVICE
 
+    @property
+    def established_calls(self) -> EstablishedCalls:
+        return self.backend.core.established_calls
+
+    @property
+    def oldest_call_ns(self) -> int:
+        """When the oldest established call of the endpoint was answered; 0: there is none."""
+        return self.established_calls.oldest_answered_ns(self.endpoint.endpoint_id)
+
+    def call_released(self, call_id: str) -> None:
+        """The server has released a call, which shows that it held it if the call was established."""
+        answered_ns = self.established_calls.answered_ns(self.endpoint.endpoint_id, call_id)
+        if answered_ns:
+            self.monitor.call_released(self.backend.loop.now, answered_ns)
+
     def _close_drained(self) -> None:
         """Half-close connections that are no longer needed; they are read until the peer closes them."""
         for connection in self.connections:
@@ -134,7 +150,7 @@
             core.endpoint_lost(self.endpoint, loss.reason, loss.before_ns)
         elif not self.in_use:
             self._close_drained()
-        elif core.established_calls[self.endpoint.endpoint_id]:
+        elif self.established_calls.count(self.endpoint.endpoint_id):
             pending = [check.started_ns for check in self.checks if check.pending]
             if self.monitor.check_due(now, pending):
                 core.metrics.count("server.checked")
--- a/arrowrail/wire/m3ua/association.py
+++ b/arrowrail/wire/m3ua/association.py
@@ -66,6 +66,7 @@
         self._handshake_timer: Timer | None = None
         self._check_timer: Timer | None = None
         self._heartbeat_timer: Timer | None = None
+        self.opened_ns = 0  # when the connection came up
         self._last_received_ns = loop.now
         self.protocol_error_warning = RateLimitedWarning(loop)
         self._message_timeout = MessageTimeout(loop, MESSAGE_TIMEOUT_NS, self._on_message_timeout)
@@ -73,7 +74,7 @@
     # --- The connection ---------------------------------------------------------------------------------
 
     def connected(self) -> None:
-        self._last_received_ns = self.loop.now
+        self.opened_ns = self._last_received_ns = self.loop.now
         self._heartbeat_timer = self.loop.timers.schedule(
             self.loop.now + self.settings.heartbeat_interval_ns, self._heartbeat_due
         )
--- a/arrowrail/wire/m3ua/backend.py
+++ b/arrowrail/wire/m3ua/backend.py
@@ -122,13 +122,14 @@
         now, core = self.backend.loop.now, self.backend.core
         association = self.association
         if association is not None and association.state == ACTIVE:
-            self.monitor.data_received(association.last_received_ns, association.last_received_ns)
+            oldest_call_ns = core.established_calls.oldest_answered_ns(self.endpoint.endpoint_id)
+            self.monitor.data_received(association.last_received_ns, association.opened_ns, oldest_call_ns)
         loss = self.monitor.detect_loss(now)
         if loss is not None:
             core.endpoint_lost(self.endpoint, loss.reason, loss.before_ns)
         elif (
             association is not None
-            and core.established_calls[self.endpoint.endpoint_id]
+            and core.established_calls.count(self.endpoint.endpoint_id)
             and self.monitor.check_due(now)
         ):
             association.check_peer()
@@ -239,6 +240,8 @@
             # A processor that has restarted resets its circuits, which ends the calls on them.
             cause = message.cause if message.message_type == IsupMessageType.REL else Q850_TEMPORARY_FAILURE
             clearing = call.clearing
+            if message.message_type == IsupMessageType.REL:
+                self._call_released(call)
             self._free_circuits(call)
             if not clearing:
                 core.endpoint_released(self.endpoint, call.call_id, causes.release_outcome(cause), cause)
@@ -248,6 +251,15 @@
         elif message.message_type == IsupMessageType.RLC and call.clearing:
             self._free_circuits(call)
 
+    def _call_released(self, call: OutgoingCall) -> None:
+        """The peer has released a call, which shows that it held it if the call was established.
+
+        A reset of a circuit shows nothing of the kind: a peer that starts resets them all.
+        """
+        answered_ns = self.backend.core.established_calls.answered_ns(self.endpoint.endpoint_id, call.call_id)
+        if answered_ns:
+            self.monitor.call_released(self.backend.loop.now, answered_ns)
+
 
 class M3uaBackend:
     """Backend of the core; ``default_circuits`` is the group size where an endpoint states none."""
@@ -312,3 +324,9 @@
         trunk_group = self.trunk_groups.get(endpoint.endpoint_id)
         if trunk_group is not None:
             trunk_group.release(call_id, cause)
+
+    def address_taken(self, endpoint: Endpoint, started_ns: int) -> None:
+        trunk_group = self.trunk_groups.get(endpoint.endpoint_id)
+        if trunk_group is not None:
+            trunk_group.monitor.identity.address_taken(self.loop.now, started_ns)
+            trunk_group.check_server()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -29,6 +29,8 @@
     processes: ProcessManager
     controller_port: int
     exchange_count: int
+    spare_address: str  # a server that no route leads to, for use as a successor
+    addresses: dict[str, str]  # of the routes, as the list has them
 
     def inject_fault(self, route: str, mode: str, **options: object) -> float:
         """Inject a fault, and return the time at which the command was sent."""
@@ -36,6 +38,10 @@
         self.processes.send_line("proxy", json.dumps({"route": route, "do": mode, **options}).encode())
         return now
 
+    def publish(self, server: Server) -> None:
+        """Publish an entry of the exchange list on the event bus."""
+        self.processes.send_line("bus", json.dumps([server.to_entry()]).encode())
+
     def establish_calls(self, caller: Caller, first: int, count: int, exchange: int) -> list[str]:
         """Place calls to an exchange, and return the ids of the established ones."""
         established = []
@@ -48,13 +54,18 @@
 
 @contextmanager
 def start_scenario(
-    folder: Path, exchanges: int = 2, deadline_ms: int = 3000, hold_ms: int = HOLD_MS
+    folder: Path,
+    exchanges: int = 2,
+    deadline_ms: int = 3000,
+    hold_ms: int = HOLD_MS,
+    discovery: bool = False,
 ) -> Iterator[Scenario]:
-    """Start a controller with one server per exchange, and end all processes afterwards."""
-    ports = free_ports(2 * exchanges + 1)
-    server_ports, proxy_ports, controller_port = (
-        ports[:exchanges], ports[exchanges : 2 * exchanges], ports[-1],
-    )  # fmt: skip
+    """Start a controller with one server per exchange and a spare one, and end all processes afterwards.
+
+    ``discovery``: whether there is an event bus; without one, discovery is unreachable.
+    """
+    *ports, spare_port, bus_port, controller_port = free_ports(2 * exchanges + 3)
+    server_ports, proxy_ports = ports[:exchanges], ports[exchanges:]
     names = [f"s{n + 1}" for n in range(exchanges)]
     servers = tuple(
         Server(name, f"127.0.0.1:{port}", n + 1)
@@ -62,7 +73,7 @@
     )
     deployment = Deployment(classes=(CallClassConfig(CLASS, deadline_ms, hold_ms=HOLD_MS),), servers=servers)
     with ProcessManager(folder) as processes:
-        for name, port in zip(names, server_ports, strict=True):
+        for name, port in zip([*names, "spare"], [*server_ports, spare_port], strict=True):
             processes.start(
                 name, "arrowrail.lab.exchange", "--listen", f"127.0.0.1:{port}",
                 "--ledger", str(folder / f"{name}.jsonl"), "--hold-ms", str(hold_ms),
@@ -72,10 +83,16 @@
             for name, proxy_port, server_port in zip(names, proxy_ports, server_ports, strict=True)
         ]
         processes.start("proxy", "arrowrail.lab.proxy", "--ledger", str(folder / "proxy.jsonl"), *routes)
-        for port in (*server_ports, *proxy_ports):
+        if discovery:
+            processes.start("bus", "arrowrail.lab.bus", "--listen", f"127.0.0.1:{bus_port}", "--first", "2",
+                            "--ledger", str(folder / "bus.jsonl"))  # fmt: skip
+            wait_until(lambda: is_listening(bus_port), "the bus")
+        for port in (*server_ports, *proxy_ports, spare_port):
             wait_until(lambda port=port: is_listening(port), "a server")  # type: ignore[misc]
-        config = controller_config(deployment, "n0", f"127.0.0.1:{controller_port}", DISCOVERY_DOWN)
+        bus_address = f"127.0.0.1:{bus_port}" if discovery else DISCOVERY_DOWN
+        config = controller_config(deployment, "n0", f"127.0.0.1:{controller_port}", bus_address)
         environment = write_config(folder / "n0.json", config)
         processes.start("n0", "arrowrail", environment=environment | {"ARROWRAIL_LOG": "DEBUG"})
         wait_until(lambda: is_listening(controller_port), "the controller")
-        yield Scenario(processes, controller_port, exchanges)
+        addresses = {server.uid: server.address for server in servers}
+        yield Scenario(processes, controller_port, exchanges, f"127.0.0.1:{spare_port}", addresses)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -62,6 +62,9 @@
     def cancel_set_up(self, endpoint: Endpoint, _call_id: str) -> None:
         self.recorded.append(("cancel_set_up", endpoint.endpoint_id))
 
+    def address_taken(self, endpoint: Endpoint, started_ns: int) -> None:
+        self.recorded.append(("address_taken", endpoint.endpoint_id, started_ns))
+
 
 class CoreFixture:
     """A core with six endpoints in service and one set-up request."""
@@ -72,7 +75,7 @@
         self.core.decision_module = self.decision_module  # type: ignore[assignment]
         self.core.backends["binary"] = self.signalling
         self.core.frontends.append(self.signalling)
-        self.entries = [EndpointEntry(f"d{n}", "a:1", "z", n, "in_service", 0) for n in range(1, 7)]
+        self.entries = [EndpointEntry(f"d{n}", f"a:{n}", "z", n, "in_service", 0) for n in range(1, 7)]
         self.core.update_endpoints("bus", True, self.entries)
         self.signalling.recorded.clear()
         self.core.submit(
@@ -240,6 +243,17 @@
     assert len(fixture.core.requests) == 1
 
 
+@pytest.mark.parametrize("source", ["bus", "etcd"])
+def test_a_server_listed_with_a_later_start_takes_the_address_of_another_one(source: str) -> None:
+    """Guards against calls kept by a successor's greetings while its predecessor's entry is in service."""
+    fixture = CoreFixture()
+    successor = EndpointEntry("d1b", "a:1", "z", 1, "in_service", 400 * MS)
+    fixture.core.timers.now = 1_000 * MS
+    fixture.core.update_endpoints(source, False, [successor])
+    assert ("address_taken", 1, 400 * MS) in fixture.signalling.recorded
+    assert [entry[0] for entry in fixture.signalling.recorded].count("address_taken") == 1
+
+
 def test_list_entries_of_an_unknown_backend_are_ignored() -> None:
     fixture = CoreFixture()
     fixture.core.update_endpoints("bus", False, [EndpointEntry("x", "a:1", "z", 9, "in_service", 0, "m3ua")])
--- a/tests/test_failure_detection.py
+++ b/tests/test_failure_detection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from arrowrail.failure_detection.endpoint import (
+from arrowrail.failure_detection.call_loss import (
     MS,
     REFUSED,
     RELEASE_LIMIT_NS,
@@ -10,18 +10,19 @@
     SILENCE_LIMIT_NS,
     UNREACHABLE,
     CallLoss,
-    EndpointMonitor,
 )
+from arrowrail.failure_detection.endpoint import EndpointMonitor
 
 START = 1_000_000 * MS
 OPENED = START - 10_000 * MS  # when the connection from before the interruption was opened
+ANSWERED = START - 5_000 * MS  # when the oldest established call was answered
 LIMIT = SILENCE_LIMIT_NS // MS
 
 
 def interrupted() -> EndpointMonitor:
     """A monitor with data received at START and two failed connection checks since."""
     monitor = EndpointMonitor(START - 60_000 * MS)
-    monitor.data_received(START, OPENED)
+    monitor.data_received(START, OPENED, ANSWERED)
     for after in (2100, 3300):
         monitor.check_failed(START + after * MS)
     return monitor
@@ -64,29 +65,29 @@
 def test_data_on_a_connection_from_before_the_interruption_preserves_the_calls() -> None:
     monitor = interrupted()
     monitor.connected(START + 5000 * MS)
-    monitor.data_received(START + 5100 * MS, OPENED)
+    monitor.data_received(START + 5100 * MS, OPENED, ANSWERED)
     assert loss_at(monitor, LIMIT) is None
 
 
 def test_a_new_process_at_the_address_has_only_the_calls_set_up_on_it() -> None:
     monitor = interrupted()
     monitor.connected(START + 5000 * MS)
-    monitor.data_received(START + 5100 * MS, START + 5000 * MS)
-    monitor.call_confirmed(START + 5200 * MS, START + 5100 * MS)
+    monitor.data_received(START + 5100 * MS, START + 5000 * MS, ANSWERED)
+    monitor.call_released(START + 5200 * MS, START + 5150 * MS)
     assert loss_at(monitor, LIMIT) == CallLoss(RESTARTED, START + 1)
 
 
-def test_a_set_up_queued_for_the_new_process_is_no_evidence_of_the_old_one() -> None:
+def test_a_call_that_the_new_process_answered_is_no_evidence_of_the_old_one() -> None:
     monitor = interrupted()
     monitor.connected(START + 5000 * MS)
-    monitor.call_confirmed(START + 5200 * MS, START + 4000 * MS)  # queued during the interruption
+    monitor.call_released(START + 5200 * MS, START + 5050 * MS)  # its set-up was queued before
     assert loss_at(monitor, LIMIT) == CallLoss(RESTARTED, START + 1)
 
 
 def test_a_message_about_a_call_from_before_the_interruption_preserves_the_others() -> None:
     monitor = interrupted()
     monitor.connected(START + 5000 * MS)
-    monitor.call_confirmed(START + 5200 * MS, START - 100 * MS)
+    monitor.call_released(START + 5200 * MS, START - 100 * MS)
     assert loss_at(monitor, LIMIT) is None
 
 
@@ -126,7 +127,7 @@
         monitor = EndpointMonitor(START - 60_000 * MS)
         for n in range(greetings):
             monitor.greeting_received(START - 9000 * MS + n, START - 9000 * MS)
-        monitor.data_received(START, OPENED)
+        monitor.data_received(START, OPENED, ANSWERED)
         for after in (2000, 4000, 6000):
             monitor.connected(START + after * MS)
             monitor.greeting_missing(START + (after + 1000) * MS)
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -549,3 +549,24 @@
             filler.connect_ex(("127.0.0.1", port.port))
         assert active_client.expect_isup(REL, 1).cause == 41
         assert time.monotonic() - vanished_at < 8.05
+
+
+def test_calls_are_released_when_the_list_has_a_successor_at_the_address_of_a_silent_peer() -> None:
+    """Guards against a listed successor being ignored while its predecessor's entry is in service."""
+    port = ListeningSocket()
+    with running_controller(operator=controller_records(desk_record("m1", port, 1, DESK_PC))) as run:
+        peer, client = accept_desk(port), connect_client(run)
+        run.wait_until(lambda: 1 in run.core.decision_module.trunk_groups)
+        client.send_isup(1, IAM, called_number="15")
+        peer.send_isup(peer.expect_isup(IAM).cic, ANM)
+        client.expect_isup(ANM, 1)
+        run.wait_until(lambda: run.core.established_calls.count(1))
+        time.sleep(0.2)
+
+        def list_successor() -> None:
+            entry = run.core.registry.endpoints[1].entry
+            started_ns = run.core.now
+            run.core.update_endpoints("etcd", False, [replace(entry, uid="m1b", started_ns=started_ns)])
+
+        run.run_in_loop(list_successor)
+        assert client.expect_isup(REL, 1).cause == 41
--- /dev/null
+++ b/tests/test_process_identity.py
@@ -0,0 +1,90 @@
+"""What shows that a process still holds its calls, and what shows that another one has its address."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from arrowrail.failure_detection.address_reuse import find_predecessors
+from arrowrail.failure_detection.call_loss import ADDRESS_TAKEN, MS, SILENCE_LIMIT_NS, CallLoss
+from arrowrail.failure_detection.endpoint import EndpointMonitor
+from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry
+
+START = 1_000_000 * MS
+OPENED, ANSWERED = START - 10_000 * MS, START - 5_000 * MS  # connection and call of the first process
+LIMIT = SILENCE_LIMIT_NS // MS
+
+
+def heard() -> EndpointMonitor:
+    """A monitor whose server holds calls and was heard last at START."""
+    monitor = EndpointMonitor(START - 60_000 * MS)
+    monitor.data_received(START, OPENED, ANSWERED)
+    return monitor
+
+
+def loss_at(monitor: EndpointMonitor, after_ms: int) -> CallLoss | None:
+    return monitor.detect_loss(START + after_ms * MS)
+
+
+def test_the_list_ends_the_calls_of_a_server_whose_address_another_one_has() -> None:
+    """Review case 3: the successor greets before the list has it, and the list has it before the limit."""
+    monitor = heard()
+    monitor.connected(START + 1000 * MS)
+    monitor.data_received(START + 1005 * MS, START + 1000 * MS, ANSWERED)
+    taken_ns = START + 800 * MS
+    monitor.identity.address_taken(START + 2300 * MS, taken_ns)
+    monitor.data_received(START + 2301 * MS, START + 1000 * MS, ANSWERED)
+    assert not monitor.check_due(START + 9000 * MS), "a check would reach the successor"
+    assert loss_at(monitor, 2302) == CallLoss(ADDRESS_TAKEN, taken_ns)
+    # The same entry, listed again, says nothing about the calls that the successor has answered since.
+    monitor.identity.address_taken(START + 5000 * MS, taken_ns)
+    assert loss_at(monitor, 60_000) is None
+
+
+def test_a_server_heard_after_the_other_ones_start_is_given_the_time_limit() -> None:
+    """The other server may have been started long before it took the address."""
+    monitor = heard()
+    monitor.identity.address_taken(START + 2000 * MS, START - 3000 * MS)
+    monitor.data_received(START + 2100 * MS, OPENED, ANSWERED)
+    monitor.data_received(START + 5000 * MS, START + 2500 * MS, ANSWERED)  # of the other server
+    assert loss_at(monitor, 2100 + LIMIT - 1) is None
+    assert loss_at(monitor, 2100 + LIMIT) == CallLoss(ADDRESS_TAKEN, START + 2100 * MS + 1)
+
+
+def test_a_monitor_created_after_the_other_ones_start_has_only_heard_that_one() -> None:
+    monitor = heard()
+    monitor.identity.address_taken(START, START - 70_000 * MS)
+    assert loss_at(monitor, 60_000) is None
+
+
+def endpoint(number: int, address: str, started_ms: int, state: str = "in_service") -> Endpoint:
+    entry = EndpointEntry(f"d{number}", address, "z", number, state, started_ms * MS)
+    return Endpoint(number, "bus", entry)
+
+
+def replace_entry(endpoint: Endpoint, **changes: Any) -> Endpoint:
+    return replace(endpoint, entry=replace(endpoint.entry, **changes))
+
+
+@pytest.mark.parametrize(
+    ("new", "predecessors"),
+    [
+        (endpoint(9, "a:1", 500), [1]),
+        (endpoint(9, "a:1", 500, "terminating"), [1]),
+        (endpoint(9, "a:1", 500, TERMINATED), []),
+        (endpoint(9, "a:1", 0), []),  # its start is not known
+        (endpoint(9, "a:2", 300), []),  # the one listed there started later
+        (endpoint(9, "a:3", 500), []),  # that one is gone already
+        (endpoint(9, "a:4", 500), []),
+        (replace_entry(endpoint(9, "a:1", 500), point_code=7), []),  # another one behind the same gateway
+        (replace_entry(endpoint(9, "a:1", 500), backend="m3ua"), []),
+    ],
+)
+def test_the_server_with_the_later_start_has_taken_the_address(
+    new: Endpoint, predecessors: list[int]
+) -> None:
+    listed = [endpoint(1, "a:1", 0), endpoint(2, "a:2", 400), endpoint(3, "a:3", 0, TERMINATED), new]
+    found = list(find_predecessors([new], listed))
+    assert found == [(listed[n - 1], new.entry.started_ns) for n in predecessors]
