Release calls whose server's successor reports a trunk group without them

What callers saw: a server that vanished or died and was replaced at its address within about 2 s, with discovery down, late, or without a start time, left its calls standing until the list said so (12 s and more).

Cause: a greeting on a new connection renewed the contact of whatever process was heard before, unless an interruption had been noticed first, which takes two failed checks or a refused connection.

Change: on a connection that nothing has confirmed, a report with less than half of the circuits in use that the calls of before occupy contradicts them. Unless data on an older connection or the release of one of these calls refutes it within 2 s, and within 7.2 s of the last confirmation, they are released.

Why it works: a process that has just started holds none of the calls. One that goes on reports on its older connections too, and releases on their way arrive within that time and refute the contradiction.

Left open: a successor that holds many calls of other controllers before its first report, and servers that report no trunk group, look like the process of before until the list says otherwise.

--- a/arrowrail/lab/proxy.py
+++ b/arrowrail/lab/proxy.py
@@ -16,7 +16,8 @@
 
 Buffered bytes are forwarded when the route returns to ``pass``, as TCP does once a link is restored; with
 ``"forget": true`` the connections that are open then stay silent for good, as after the machine was replaced.
-``reset`` is not a mode: it resets the open connections of a route once.
+``reset`` is not a mode: it resets the open connections of a route once.  Any command may name another
+``upstream`` for the connections that open from then on, as when a new machine takes the address.
 
 Messages are recorded as well, where the name of the route gives its protocol: ``NAME/binary`` for set-ups,
 answers and releases, ``NAME/discovery`` for the offsets of events.  They are recorded when the program under
@@ -285,6 +286,8 @@
     def execute(self, command: Any) -> None:
         """Execute one command of standard input, and record it as ``fault``."""
         route = self.routes[command["route"]]
+        if "upstream" in command:
+            route.upstream = parse_address(command["upstream"])
         if command["do"] == "reset":
             route.reset()
         else:
--- a/arrowrail/wire/binary/pool.py
+++ b/arrowrail/wire/binary/pool.py
@@ -9,6 +9,7 @@
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATING, Endpoint
 from arrowrail.state.established_calls import EstablishedCalls
+from arrowrail.telemetry.events import event
 from arrowrail.wire.binary import messages as binary
 from arrowrail.wire.binary.connection import (
     ClosingConnection,
@@ -117,6 +118,18 @@
         if answered_ns:
             self.monitor.call_released(self.backend.loop.now, answered_ns)
 
+    def circuits_reported(self, opened_ns: int, in_use: float) -> None:
+        """Compare a report of the trunk group with the calls that the server should hold."""
+        identity, endpoint = self.monitor.identity, self.endpoint
+        if opened_ns < identity.confirmed_ns:
+            return
+        held = self.established_calls.circuits(endpoint.endpoint_id, identity.confirmed_ns)
+        if identity.circuits_reported(self.backend.loop.now, opened_ns, in_use, held):
+            self.backend.core.metrics.count("server.contradicted")
+            event("server.contradicted", "{server} reports {in_use} circuits in use on a new connection, "
+                  "its established calls occupy {held}", level="WARNING", server=endpoint.entry.uid,
+                  in_use=in_use, held=held)  # fmt: skip
+
     def _close_drained(self) -> None:
         """Half-close connections that are no longer needed; they are read until the peer closes them."""
         for connection in self.connections:
--- a/tests/test_process_identity.py
+++ b/tests/test_process_identity.py
@@ -8,13 +8,14 @@
 import pytest
 
 from arrowrail.failure_detection.address_reuse import find_predecessors
-from arrowrail.failure_detection.call_loss import ADDRESS_TAKEN, MS, SILENCE_LIMIT_NS, CallLoss
+from arrowrail.failure_detection.call_loss import ADDRESS_TAKEN, MS, RESTARTED, SILENCE_LIMIT_NS, CallLoss
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry
 
 START = 1_000_000 * MS
 OPENED, ANSWERED = START - 10_000 * MS, START - 5_000 * MS  # connection and call of the first process
 LIMIT = SILENCE_LIMIT_NS // MS
+CIRCUITS = 4  # of the established calls
 
 
 def heard() -> EndpointMonitor:
@@ -24,15 +25,63 @@
     return monitor
 
 
+def greet(monitor: EndpointMonitor, after_ms: int, in_use: float) -> bool:
+    """A new connection comes up and brings a report of the trunk group 5 ms later."""
+    opened_ns = START + after_ms * MS
+    monitor.connected(opened_ns)
+    monitor.data_received(opened_ns + 5 * MS, opened_ns, ANSWERED)
+    return monitor.identity.circuits_reported(opened_ns + 5 * MS, opened_ns, in_use, CIRCUITS)
+
+
 def loss_at(monitor: EndpointMonitor, after_ms: int) -> CallLoss | None:
     return monitor.detect_loss(START + after_ms * MS)
 
 
+def test_greetings_of_a_successor_do_not_keep_the_calls_of_a_vanished_process() -> None:
+    """Review case 3 without the list: each check finds a process that greets, and it is another one."""
+    monitor = heard()
+    assert greet(monitor, 1000, in_use=0)
+    for after in range(2000, 7000, 1000):
+        assert not greet(monitor, after, in_use=0), "reported once"
+    assert loss_at(monitor, LIMIT - 1) is None
+    assert loss_at(monitor, LIMIT) == CallLoss(RESTARTED, START + 1)
+    assert loss_at(monitor, LIMIT + 8000) is None, "reported once"
+
+
+@pytest.mark.parametrize("in_use", [2, 4, 9])
+def test_a_report_with_most_circuits_in_use_contradicts_nothing(in_use: int) -> None:
+    monitor = heard()
+    assert not greet(monitor, 1000, in_use)
+    assert loss_at(monitor, 60_000) is None
+
+
+def test_a_contradiction_is_refuted_by_an_old_connection_or_by_the_release_of_an_old_call() -> None:
+    for by_connection in (True, False):
+        monitor = heard()
+        assert greet(monitor, 1000, in_use=0)
+        if by_connection:
+            monitor.data_received(START + 6000 * MS, OPENED, ANSWERED)
+        else:
+            monitor.call_released(START + 6000 * MS, ANSWERED)
+        assert loss_at(monitor, 60_000) is None
+        # The connection of before is confirmed now, and what it reports contradicts nothing any more.
+        opened_ns = START + 1000 * MS
+        assert not monitor.identity.circuits_reported(START + 7000 * MS, opened_ns, 0, CIRCUITS)
+
+
+def test_a_late_contradiction_leaves_time_for_the_release_that_explains_it() -> None:
+    monitor = heard()
+    greet(monitor, 1000, in_use=4)  # as after a reset of all connections
+    monitor.data_received(START + 60_000 * MS, START + 1000 * MS, ANSWERED)
+    assert monitor.identity.circuits_reported(START + 60_000 * MS, START + 1000 * MS, 0, CIRCUITS)
+    assert loss_at(monitor, 61_900) is None
+    assert loss_at(monitor, 62_000) == CallLoss(RESTARTED, START + 1)
+
+
 def test_the_list_ends_the_calls_of_a_server_whose_address_another_one_has() -> None:
     """Review case 3: the successor greets before the list has it, and the list has it before the limit."""
     monitor = heard()
-    monitor.connected(START + 1000 * MS)
-    monitor.data_received(START + 1005 * MS, START + 1000 * MS, ANSWERED)
+    greet(monitor, 1000, in_use=4)
     taken_ns = START + 800 * MS
     monitor.identity.address_taken(START + 2300 * MS, taken_ns)
     monitor.data_received(START + 2301 * MS, START + 1000 * MS, ANSWERED)
