Compare a report of the trunk group with the calls answered before its connection

What callers saw: after a reset of all connections with one quiet call left, a later replacement of the process ended only that one in time; calls set up after the reset were released 11.4 s after their end (model of the test that follows, shortest case: call, reset, call, process replaced at once). Two replacements within 7 s were taken for one.

Cause: compares with one time only, the last one at which the holder of the oldest calls was heard. That time stands still while the oldest call says nothing, and calls answered later were at no one's.

Change: a connection keeps when it was opened and when the endpoint was heard before; a report on it is compared with the calls answered before it was opened, and a contradiction is refuted by data on an older connection or by the release of an older call. The time limit runs from the last contact before the opening. Several may be pending.

Why it works: an address has one process at a time, so that data on an older connection, later than the opening of a newer one, shows that both lead to the same process, whatever else is in doubt.

--- a/arrowrail/failure_detection/endpoint.py
+++ b/arrowrail/failure_detection/endpoint.py
@@ -30,7 +30,7 @@
     UNREACHABLE,
     CallLoss,
 )
-from arrowrail.failure_detection.identity import ProcessIdentity
+from arrowrail.failure_detection.identity import Opening, ProcessIdentity
 
 # With established calls, how long a server may be silent before a connection check.  A shorter time means a
 # more recent last contact when the server vanishes, and a longer outage that its calls survive: 6 s with this
@@ -95,6 +95,13 @@
         if answered_ns <= self._interrupted_ns:
             self._interrupted_ns = 0
 
+    def circuits_reported(self, now: int, opening: Opening, in_use: float, held: float) -> bool:
+        """A report of the trunk group arrived; return whether it contradicts the calls of before.
+
+        The parameters are those of ``ProcessIdentity.circuits_reported``.
+        """
+        return self.identity.circuits_reported(now, opening, in_use, held)
+
     def greeting_received(self, now: int, opened_ns: int) -> None:
         """The first data arrived on a connection that was opened at ``opened_ns``."""
         if now - opened_ns <= GREETING_TIMEOUT_NS:
@@ -107,15 +114,17 @@
         else:
             self._greeting_count = 0
 
-    def connected(self, now: int) -> None:
+    def connected(self, now: int) -> Opening:
         """A connection was opened."""
+        opening = Opening(now, self._last_contact_ns)
         if self.identity.replaced:
-            return
+            return opening
         if self._greeting_count < MIN_GREETINGS:
             self._record_contact(now)
         if self._resets_on_restart:
             self._record_contact(now)
             self._interrupted_ns = 0
+        return opening
 
     def check_failed(self, now: int) -> None:
         """A connection was not opened in time."""
--- a/arrowrail/state/established_calls.py
+++ b/arrowrail/state/established_calls.py
@@ -42,10 +42,9 @@
         call = self._calls[endpoint_id].get(call_id) if endpoint_id in self._calls else None
         return call.answered_ns if call is not None else 0
 
-    def circuits(self, endpoint_id: int, until_ns: int) -> int:
-        """Return the circuits of the calls at an endpoint that were answered by ``until_ns``."""
-        if endpoint_id not in self._calls:
+    def circuits(self, endpoint_id: int, from_ns: int, before_ns: int) -> int:
+        """Return the circuits of the calls at an endpoint that were answered within a span of time."""
+        if not 0 < self.oldest_answered_ns(endpoint_id) < before_ns:
             return 0
-        return sum(
-            call.circuits for call in self._calls[endpoint_id].values() if call.answered_ns <= until_ns
-        )
+        calls = self._calls[endpoint_id].values()
+        return sum(call.circuits for call in calls if from_ns <= call.answered_ns < before_ns)
--- a/arrowrail/wire/binary/backend.py
+++ b/arrowrail/wire/binary/backend.py
@@ -176,7 +176,7 @@
         elif message.message_type == binary.RELEASE_ACK:
             connection.unacknowledged_releases.pop(call_id, None)
         elif message.message_type == binary.GROUP_STATE and message.size >= 0:
-            connection.pool.circuits_reported(connection.opened_ns, message.size - message.free)
+            connection.pool.circuits_reported(connection.opening, message.size - message.free)
             self.core.trunk_group_changed(connection.endpoint, message.free, message.size)
         elif message.message_type == binary.PROBE_RESULT:
             pending = self.pending_probes.pop(message.call_id, None)
--- a/arrowrail/wire/binary/connection.py
+++ b/arrowrail/wire/binary/connection.py
@@ -11,6 +11,7 @@
 
 from arrowrail.core.requests import MS
 from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, GREETING_TIMEOUT_NS
+from arrowrail.failure_detection.identity import Opening
 from arrowrail.state.endpoints import TERMINATED
 from arrowrail.telemetry.events import disconnect_reason, event
 from arrowrail.wire.bad_input import MessageTimeout
@@ -44,7 +45,7 @@
         "endpoint",
         "has_received",
         "message_timeout",
-        "opened_ns",
+        "opening",
         "parser",
         "pending_set_ups",
         "pool",
@@ -54,7 +55,7 @@
     )
 
     def __init__(self, pool: ConnectionPool) -> None:
-        self.opened_ns = 0  # when the current connection came up
+        self.opening = Opening(0, 0)  # of the current connection
         self.has_received = False  # whether any data came on the current connection
         self.pool, self.endpoint = pool, pool.endpoint
         self.stream: Stream | None = None
@@ -83,17 +84,17 @@
         self.reconnect_timer.start_connect_timeout(self.pool.backend.connect_timeout_ns, self.stream)
 
     def connected(self) -> None:
-        self.opened_ns, self.has_received = self.pool.backend.loop.now, False
-        self.pool.monitor.connected(self.opened_ns)
+        self.has_received = False
+        self.opening = self.pool.monitor.connected(self.pool.backend.loop.now)
         self.reconnect_timer.reset_backoff()
         self.pool.flush_releases(self)
 
     def received(self, data: bytes) -> None:
         now, monitor = self.pool.backend.loop.now, self.pool.monitor
-        monitor.data_received(now, self.opened_ns, self.pool.oldest_call_ns)
+        monitor.data_received(now, self.opening.opened_ns, self.pool.oldest_call_ns)
         if not self.has_received:
             self.has_received = True
-            monitor.greeting_received(now, self.opened_ns)
+            monitor.greeting_received(now, self.opening.opened_ns)
         try:
             messages = self.parser.feed(data)
             for message in messages:
@@ -170,7 +171,7 @@
         if stream is None:
             return
         self.stream, self.parser = stream, connection.parser
-        self.opened_ns, self.has_received = connection.opened_ns, connection.has_received
+        self.opening, self.has_received = connection.opening, connection.has_received
         stream.handler = self
         connection.message_timeout.cancel()
         stream.half_close()
--- a/arrowrail/wire/binary/pool.py
+++ b/arrowrail/wire/binary/pool.py
@@ -7,6 +7,7 @@
 
 from arrowrail.core.requests import CAUSE_CONNECTION_FAILED, MS, Q850_NORMAL_CLEARING
 from arrowrail.failure_detection.endpoint import EndpointMonitor
+from arrowrail.failure_detection.identity import Opening
 from arrowrail.state.endpoints import IN_SERVICE, TERMINATING, Endpoint
 from arrowrail.state.established_calls import EstablishedCalls
 from arrowrail.telemetry.events import event
@@ -118,13 +119,13 @@
         if answered_ns:
             self.monitor.call_released(self.backend.loop.now, answered_ns)
 
-    def circuits_reported(self, opened_ns: int, in_use: float) -> None:
+    def circuits_reported(self, opening: Opening, in_use: float) -> None:
         """Compare a report of the trunk group with the calls that the server should hold."""
-        identity, endpoint = self.monitor.identity, self.endpoint
-        if opened_ns < identity.confirmed_ns:
-            return
-        held = self.established_calls.circuits(endpoint.endpoint_id, identity.confirmed_ns)
-        if identity.circuits_reported(self.backend.loop.now, opened_ns, in_use, held):
+        monitor, endpoint = self.monitor, self.endpoint
+        held = self.established_calls.circuits(
+            endpoint.endpoint_id, monitor.identity.contradicted_ns, opening.opened_ns
+        )
+        if monitor.circuits_reported(self.backend.loop.now, opening, in_use, held):
             self.backend.core.metrics.count("server.contradicted")
             event("server.contradicted", "{server} reports {in_use} circuits in use on a new connection, "
                   "its established calls occupy {held}", level="WARNING", server=endpoint.entry.uid,
--- a/tests/test_process_identity.py
+++ b/tests/test_process_identity.py
@@ -27,10 +27,11 @@
 
 def greet(monitor: EndpointMonitor, after_ms: int, in_use: float) -> bool:
     """A new connection comes up and brings a report of the trunk group 5 ms later."""
-    opened_ns = START + after_ms * MS
-    monitor.connected(opened_ns)
-    monitor.data_received(opened_ns + 5 * MS, opened_ns, ANSWERED)
-    return monitor.identity.circuits_reported(opened_ns + 5 * MS, opened_ns, in_use, CIRCUITS)
+    opening = monitor.connected(START + after_ms * MS)
+    now = opening.opened_ns + 5 * MS
+    monitor.data_received(now, opening.opened_ns, ANSWERED)
+    held = 0 if monitor.identity.contradicted_ns else CIRCUITS
+    return monitor.circuits_reported(now, opening, in_use, held)
 
 
 def loss_at(monitor: EndpointMonitor, after_ms: int) -> CallLoss | None:
@@ -42,9 +43,9 @@
     monitor = heard()
     assert greet(monitor, 1000, in_use=0)
     for after in range(2000, 7000, 1000):
-        assert not greet(monitor, after, in_use=0), "reported once"
+        assert not greet(monitor, after, in_use=0), "the calls are contradicted already"
     assert loss_at(monitor, LIMIT - 1) is None
-    assert loss_at(monitor, LIMIT) == CallLoss(RESTARTED, START + 1)
+    assert loss_at(monitor, LIMIT) == CallLoss(RESTARTED, START + 1000 * MS)
     assert loss_at(monitor, LIMIT + 8000) is None, "reported once"
 
 
@@ -64,18 +65,26 @@
         else:
             monitor.call_released(START + 6000 * MS, ANSWERED)
         assert loss_at(monitor, 60_000) is None
-        # The connection of before is confirmed now, and what it reports contradicts nothing any more.
-        opened_ns = START + 1000 * MS
-        assert not monitor.identity.circuits_reported(START + 7000 * MS, opened_ns, 0, CIRCUITS)
 
 
 def test_a_late_contradiction_leaves_time_for_the_release_that_explains_it() -> None:
     monitor = heard()
-    greet(monitor, 1000, in_use=4)  # as after a reset of all connections
-    monitor.data_received(START + 60_000 * MS, START + 1000 * MS, ANSWERED)
-    assert monitor.identity.circuits_reported(START + 60_000 * MS, START + 1000 * MS, 0, CIRCUITS)
+    opening = monitor.connected(START + 1000 * MS)  # as after a reset of all connections
+    monitor.data_received(START + 60_000 * MS, opening.opened_ns, ANSWERED)
+    assert monitor.circuits_reported(START + 60_000 * MS, opening, 0, CIRCUITS)
     assert loss_at(monitor, 61_900) is None
-    assert loss_at(monitor, 62_000) == CallLoss(RESTARTED, START + 1)
+    assert loss_at(monitor, 62_000) == CallLoss(RESTARTED, START + 1000 * MS)
+
+
+def test_a_second_replacement_ends_only_the_calls_of_its_predecessor() -> None:
+    monitor = heard()
+    assert greet(monitor, 1000, in_use=0)
+    later = monitor.connected(START + 4000 * MS)
+    assert monitor.circuits_reported(START + 4005 * MS, later, 0, 1)  # a call answered in between
+    assert loss_at(monitor, LIMIT) == CallLoss(RESTARTED, START + 1000 * MS)
+    heard_before = later.heard_before_ns // MS - START // MS
+    assert loss_at(monitor, heard_before + LIMIT - 1) is None
+    assert loss_at(monitor, heard_before + LIMIT) == CallLoss(RESTARTED, START + 4000 * MS)
 
 
 def test_the_list_ends_the_calls_of_a_server_whose_address_another_one_has() -> None:
