Keep the calls of a server that has nothing to report in an outage and after it

What callers saw: after an outage of 2.4 s or more, all calls at a server that had no change to report were cut 7.2 s after its last message, although they went on there.

Cause: after an interruption only data on a connection of before, or the release of a call of before, was proof of the same process. A quiet server sends neither; what it says on new connections was not looked at.

Change: a report that equals the last one before the interruption, with all circuits of the calls in use, ends the interruption. Not after a refused connection: that process has ended with its calls.

Why it works: if the group had changed, a process that goes on would have told so on its older connections. A new process is unlikely to have exactly as many circuits in use, and can't have them at once.

--- a/arrowrail/failure_detection/endpoint.py
+++ b/arrowrail/failure_detection/endpoint.py
@@ -8,6 +8,9 @@
 
 - The release of a call answered before an interruption, or data on a connection opened before it: the same
   process is still running, and its calls go on.
+- A report of the trunk group that equals the last one before an interruption, with all circuits of the calls
+  in use: a process that goes on and has had no change to report says nothing on its older connections, and a
+  new process is unlikely to have the same number of circuits in use.
 - A new connection that is accepted: some process is there.  If the server used to send data at once on new
   connections, such as its state, a connection without such a greeting proves nothing: connections to a
   hanging process are accepted, too.  It may be a new process at the same address, which knows nothing of the
@@ -53,6 +56,7 @@
 
     __slots__ = (
         "_calls_lost",
+        "_circuits_in_use",
         "_failed_checks",
         "_greeting_count",
         "_interrupted_ns",
@@ -69,6 +73,7 @@
         self._interrupted_ns = 0  # last contact before the current interruption; 0: no interruption
         self._refused_since_ns = 0  # start of the period in which connections are refused; 0: they are not
         self._calls_lost = False  # the loss was reported, and there was no contact since
+        self._circuits_in_use = -1.0  # by the last report before any interruption; below 0: none
         self._greeting_count = 0  # consecutive connections on which the server sent a greeting
         self._resets_on_restart = resets_on_restart
 
@@ -100,7 +105,13 @@
 
         The parameters are those of ``ProcessIdentity.circuits_reported``.
         """
-        return self.identity.circuits_reported(now, opening, in_use, held)
+        if self.identity.circuits_reported(now, opening, in_use, held):
+            return True
+        if self._interrupted_ns and in_use == self._circuits_in_use >= held:
+            self._interrupted_ns = 0
+        if not self._interrupted_ns:
+            self._circuits_in_use = in_use
+        return False
 
     def greeting_received(self, now: int, opened_ns: int) -> None:
         """The first data arrived on a connection that was opened at ``opened_ns``."""
@@ -139,6 +150,7 @@
     def connection_refused(self, now: int) -> None:
         """A connection was refused while no other is open: no process listens there."""
         self._refused_since_ns = self._refused_since_ns or now
+        self._circuits_in_use = -1.0  # the process has ended with its calls: no later report is about them
         self._begin_interruption()
 
     def check_due(self, now: int, pending: Sequence[int] = ()) -> bool:
--- a/tests/test_process_identity.py
+++ b/tests/test_process_identity.py
@@ -10,6 +10,7 @@
 from arrowrail.failure_detection.address_reuse import find_predecessors
 from arrowrail.failure_detection.call_loss import ADDRESS_TAKEN, MS, RESTARTED, SILENCE_LIMIT_NS, CallLoss
 from arrowrail.failure_detection.endpoint import EndpointMonitor
+from arrowrail.failure_detection.identity import Opening
 from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry
 
 START = 1_000_000 * MS
@@ -67,6 +68,19 @@
         assert loss_at(monitor, 60_000) is None
 
 
+@pytest.mark.parametrize(("in_use", "loss"), [(6, None), (5, CallLoss(RESTARTED, START + 1))])
+def test_after_an_outage_a_report_that_matches_the_last_one_keeps_the_calls_of_a_quiet_server(
+    in_use: int, loss: CallLoss | None
+) -> None:
+    """Guards against cutting all calls of a server that had nothing to say during an outage and after it."""
+    monitor = heard()
+    monitor.circuits_reported(START, Opening(OPENED, OPENED), 6, 0)
+    for after in (2100, 3300):
+        monitor.check_failed(START + after * MS)
+    assert not greet(monitor, 4500, in_use)
+    assert loss_at(monitor, LIMIT) == loss
+
+
 def test_a_late_contradiction_leaves_time_for_the_release_that_explains_it() -> None:
     monitor = heard()
     opening = monitor.connected(START + 1000 * MS)  # as after a reset of all connections
