Write rates and shares as exact decimals instead of through a float

Cause: units.write formatted with nine places of a float.

Change: the decimal is computed with integers, and a rate takes the first unit whose decimal has at most the 20 characters that units.read accepts. Values without such a decimal, as a third, are rounded as before.

--- a/arrowrail/config/units.py
+++ b/arrowrail/config/units.py
@@ -57,14 +57,18 @@
 
 
 def write(kind: str, value: int | float | Fraction) -> str:
-    """Format a value in the largest unit that divides it; a rate in the first that gives a finite decimal."""
+    """Format a value in the largest unit that divides it; a rate in the first that gives an exact decimal.
+
+    A share or rate without an exact decimal that ``read`` accepts is rounded.
+    """
     if kind == SHARE:
-        return _format_number(Fraction(value) * 100) + "%"
+        percentage = Fraction(value) * 100
+        return (_exact_decimal(percentage) or f"{float(percentage):.9f}".rstrip("0").rstrip(".")) + "%"
     if kind == RATE:
-        for unit in ("/s", "/min", "/h"):
-            number = Fraction(value) / RATES[unit]
-            if _is_finite_decimal(number):
-                return _format_number(number) + unit
+        for unit, size in RATES.items():
+            number = _exact_decimal(Fraction(value) / size)
+            if number is not None:
+                return number + unit
         return f"{float(value):.3f}/s"
     if kind in (DURATION, SIZE):
         table = DURATIONS if kind == DURATION else SIZES
@@ -75,16 +79,13 @@
     return str(value)
 
 
-def _is_finite_decimal(number: Fraction) -> bool:
-    """Whether the number has a finite decimal expansion and a denominator of at most a million."""
-    rest = number.denominator
-    for prime in (2, 5):
-        while rest % prime == 0:
-            rest //= prime
-    return rest == 1 and number.denominator <= 10**6
-
-
-def _format_number(number: Fraction) -> str:
-    if number.denominator == 1:
-        return str(number.numerator)
-    return f"{float(number):.9f}".rstrip("0").rstrip(".")
+def _exact_decimal(number: Fraction) -> str | None:
+    """Return a number as a decimal; ``None`` if it has none of at most ``MAX_NUMBER_LENGTH`` characters."""
+    decimals_needed = (n for n in range(MAX_NUMBER_LENGTH) if 10**n % number.denominator == 0)
+    places = next(decimals_needed, None)
+    if places is None:
+        return None
+    digits = str(abs(number.numerator) * 10**places // number.denominator).rjust(places + 1, "0")
+    whole, decimals = (digits[:-places], "." + digits[-places:]) if places else (digits, "")
+    text = ("-" if number < 0 else "") + whole + decimals
+    return text if len(text) <= MAX_NUMBER_LENGTH else None
