--- a/arrowrail/config/units.py
+++ b/arrowrail/config/units.py
@@ -65,8 +65,8 @@
         percentage = Fraction(value) * 100
         return (_exact_decimal(percentage) or f"{float(percentage):.9f}".rstrip("0").rstrip(".")) + "%"
     if kind == RATE:
-        for unit, size in RATES.items():
-            number = _exact_decimal(Fraction(value) / size)
+        for unit, events_per_second in RATES.items():
+            number = _exact_decimal(Fraction(value) / events_per_second)
             if number is not None:
                 return number + unit
         return f"{float(value):.3f}/s"
