Reject a reload whose result can't be decoded instead of ending the process

Cause: the pickle that the reader process writes was loaded without a guard; it names classes by module.

Change: any failure of decoding is a fault of the reload, which leaves the configuration in force and asks for a restart.

The SIGHUP itself was not played: the running process would have to be of this version, and the sources under it of a later one.

--- a/arrowrail/run/reader_process.py
+++ b/arrowrail/run/reader_process.py
@@ -46,12 +46,15 @@
 def _result(data: bytes, exit_code: int | None) -> ReadResult:
     if exit_code != 0 or not data:
         return ReadResult(None, (f"the reader process failed with exit code {exit_code}",))
-    result = pickle.loads(data)
-    return (
-        result
-        if isinstance(result, ReadResult)
-        else ReadResult(None, ("the reader process returned no result",))
-    )
+    try:
+        result = pickle.loads(data)
+    except Exception as error:
+        # Any error: the reader process may run another version than this one, after its sources were replaced.
+        message = f"the result of the reader process can't be decoded ({error!r}); restart this process"
+        return ReadResult(None, (message,))
+    if not isinstance(result, ReadResult):
+        return ReadResult(None, ("the reader process returned no result",))
+    return result
 
 
 class ReaderProcess:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -20,6 +20,7 @@
 from arrowrail.core.requests import NO_ROUTE, OVER_LIMIT, REFUSED, SetUpParams
 from arrowrail.lab.processes import free_ports
 from arrowrail.loop import Loop
+from arrowrail.run import reader_process
 from arrowrail.run.read_result import ReadResult
 from arrowrail.run.reader import read_controller, read_sidecar, read_when_stable
 from arrowrail.run.reader_process import ReaderProcess, read_and_wait
@@ -222,6 +223,15 @@
     assert read_when_stable(tmp_path, check).value == "complete" and len(contents) == 2
 
 
+@pytest.mark.parametrize(
+    "data", [b"carrowrail.gone\nMissing\n.", b"carrowrail.loop\nMissing\n.", b"\x80\x04", b"N."]
+)
+def test_an_undecodable_result_of_the_reader_process_is_a_fault(data: bytes) -> None:
+    """Guards against a reload ending the process after its sources were replaced by another version's."""
+    result = reader_process._result(data, 0)
+    assert result.value is None and len(result.faults) == 1
+
+
 def test_only_the_latest_read_request_yields_a_result(tmp_path: Path) -> None:
     load_config(tmp_path)
     loop, results = Loop(), list[ReadResult]()
