--- a/arrowrail/run/reader_process.py
+++ b/arrowrail/run/reader_process.py
@@ -49,7 +49,7 @@
     try:
         result = pickle.loads(data)
     except Exception as error:
-        # Any error: the reader process may run another version than this one, after its sources were replaced.
+        # Any error: the reader process may run another version, after the sources were replaced.
         message = f"the result of the reader process can't be decoded ({error!r}); restart this process"
         return ReadResult(None, (message,))
     if not isinstance(result, ReadResult):
