Break the import circle between backend, pool and connections of the binary protocol

Change: a pool is handed what it uses of the backend (services.py), a connection names what it needs of its pool (ConnectionOwner), and messages go through a callback. No change of behaviour.

--- a/arrowrail/wire/binary/backend.py
+++ b/arrowrail/wire/binary/backend.py
@@ -17,6 +17,7 @@
 from arrowrail.wire.binary.messages import BinaryMessage
 from arrowrail.wire.binary.outcomes import release_outcome
 from arrowrail.wire.binary.pool import MAX_PENDING, ConnectionPool
+from arrowrail.wire.binary.services import BackendServices
 
 PROBE_ID_BASE = 0xF0BE << 48  # call ids of probes start here
 CHECK_INTERVAL_NS = 150 * MS  # between two checks for servers that no longer respond
@@ -28,13 +29,13 @@
     def __init__(
         self, loop: Loop, core: Core, connect_timeout_ns: int, connections_per_exchange: int = 1
     ) -> None:
-        self.loop, self.core, self.connect_timeout_ns = loop, core, connect_timeout_ns
+        self.loop, self.core = loop, core
         self.connections_per_exchange = connections_per_exchange
         self.pools: dict[int, ConnectionPool] = {}
         self.unreadable_warning = RateLimitedWarning(loop)
         self.pending_probes: dict[int, tuple[Callable[[bool], None], Timer]] = {}
         self._probe_count = 0
-        self.started_ns = loop.now
+        self.services = BackendServices(loop, core, connect_timeout_ns, loop.now, self._report_unreadable)
         core.backends["binary"] = self
         self.loop.timers.schedule(self.loop.now + CHECK_INTERVAL_NS, self._check_servers)
 
@@ -43,7 +44,7 @@
             pool.check_server()
         self.loop.timers.schedule(self.loop.now + CHECK_INTERVAL_NS, self._check_servers)
 
-    def report_unreadable(self, endpoint: Endpoint, reason: str) -> None:
+    def _report_unreadable(self, endpoint: Endpoint, reason: str) -> None:
         self.unreadable_warning.record(f"unreadable message from {endpoint.entry.uid}: {reason}")
 
     # --- From the core ----------------------------------------------------------------------------------
@@ -72,7 +73,7 @@
         pool = self.pools.get(endpoint.endpoint_id)
         if pool is None:
             pool = self.pools[endpoint.endpoint_id] = ConnectionPool(
-                self, endpoint, self.connections_per_exchange
+                self.services, endpoint, self.connections_per_exchange, self._handle_message
             )
         return pool
 
@@ -105,12 +106,12 @@
         """Discard the set-up if it is still queued, otherwise send a release for it."""
         pool = self.pools.get(endpoint.endpoint_id)
         connection = pool.find_connection(call_id) if pool is not None else None
-        if connection is None:
+        if pool is None or connection is None:
             return
         del connection.pending_set_ups[call_id]
-        connection.pool.cancelled_set_ups[call_id] = connection
-        if len(connection.pool.cancelled_set_ups) > MAX_PENDING:
-            del connection.pool.cancelled_set_ups[next(iter(connection.pool.cancelled_set_ups))]
+        pool.cancelled_set_ups[call_id] = connection
+        if len(pool.cancelled_set_ups) > MAX_PENDING:
+            del pool.cancelled_set_ups[next(iter(pool.cancelled_set_ups))]
         if connection.stream is not None and not connection.stream.discard_unsent(call_id):
             # Sent on the connection of the set-up: on another one the release could overtake it.
             connection.send_release(
@@ -153,10 +154,12 @@
 
     # --- From the servers -------------------------------------------------------------------------------
 
-    def handle_message(self, connection: ServerConnection, message: BinaryMessage) -> None:
+    def _handle_message(
+        self, pool: ConnectionPool, connection: ServerConnection, message: BinaryMessage
+    ) -> None:
         call_id = f"{message.call_id:016x}"
         if message.message_type in (binary.ANSWER, binary.RELEASE):
-            owner = connection.pool.find_connection(call_id)
+            owner = pool.find_connection(call_id)
             if owner not in (None, connection):
                 # Replies to a set-up come on its own connection: this one belongs to an earlier attempt.
                 logger.debug(
@@ -169,14 +172,14 @@
         if message.message_type == binary.ANSWER:
             self.core.endpoint_answered(connection.endpoint, call_id, message.session_description)
         elif message.message_type == binary.RELEASE:
-            connection.pool.call_released(call_id)
+            pool.call_released(call_id)
             self.core.endpoint_released(connection.endpoint, call_id, release_outcome(message), message.cause)
             if connection.stream is not None:
                 connection.stream.send(binary.encode(BinaryMessage(binary.RELEASE_ACK, message.call_id)))
         elif message.message_type == binary.RELEASE_ACK:
             connection.unacknowledged_releases.pop(call_id, None)
         elif message.message_type == binary.GROUP_STATE and message.size >= 0:
-            connection.pool.circuits_reported(connection.opening, message.size - message.free)
+            pool.circuits_reported(connection.opening, message.size - message.free)
             self.core.trunk_group_changed(connection.endpoint, message.free, message.size)
         elif message.message_type == binary.PROBE_RESULT:
             pending = self.pending_probes.pop(message.call_id, None)
--- a/arrowrail/wire/binary/connection.py
+++ b/arrowrail/wire/binary/connection.py
@@ -5,23 +5,22 @@
 import errno
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from loguru import logger
 
 from arrowrail.core.requests import MS
-from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, GREETING_TIMEOUT_NS
+from arrowrail.failure_detection.endpoint import CHECK_TIMEOUT_NS, GREETING_TIMEOUT_NS, EndpointMonitor
 from arrowrail.failure_detection.identity import Opening
-from arrowrail.state.endpoints import TERMINATED
+from arrowrail.state.endpoints import TERMINATED, Endpoint
 from arrowrail.telemetry.events import disconnect_reason, event
 from arrowrail.wire.bad_input import MessageTimeout
 from arrowrail.wire.binary import messages as binary
+from arrowrail.wire.binary.messages import BinaryMessage
+from arrowrail.wire.binary.services import BackendServices
 from arrowrail.wire.reconnect import ReconnectTimer
 from arrowrail.wire.stream import Stream, connect
 
-if TYPE_CHECKING:
-    from arrowrail.wire.binary.pool import ConnectionPool
-
 # A release written within this time before its connection broke may be lost: it is sent again.
 RELEASE_RESEND_WINDOW_NS = 8_000 * MS
 MAX_UNACKNOWLEDGED = 200  # releases remembered per connection
@@ -38,6 +37,26 @@
     written_ns: int = 0
 
 
+class ConnectionOwner(Protocol):
+    """What a connection needs of the pool that it belongs to."""
+
+    services: BackendServices
+    endpoint: Endpoint
+    monitor: EndpointMonitor
+
+    @property
+    def in_use(self) -> bool: ...
+    @property
+    def oldest_call_ns(self) -> int: ...
+    def message_received(self, connection: ServerConnection, message: BinaryMessage) -> None: ...
+    def connection_failed(self, error: OSError | None) -> None: ...
+    def check_failed(self, error: OSError | None) -> None: ...
+    def check_ended(self, check: ReachabilityCheck) -> None: ...
+    def set_up_interrupted(self, call_id: str, data: bytes, never_connected: bool, unsent: bool) -> None: ...
+    def queue_releases(self, releases: list[Release]) -> None: ...
+    def flush_releases(self, connection: ServerConnection) -> None: ...
+
+
 class ServerConnection:
     """One connection to an endpoint and the unanswered set-ups on it; reconnects after a failure."""
 
@@ -54,7 +73,7 @@
         "unacknowledged_releases",
     )
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionOwner) -> None:
         self.opening = Opening(0, 0)  # of the current connection
         self.has_received = False  # whether any data came on the current connection
         self.pool, self.endpoint = pool, pool.endpoint
@@ -62,8 +81,10 @@
         self.parser = binary.BinaryParser()
         self.pending_set_ups: dict[str, bytes] = {}  # unanswered set-ups by call id, queued or sent
         self.unacknowledged_releases: dict[str, Release] = {}  # written here, not confirmed by the server
-        self.reconnect_timer = ReconnectTimer(pool.backend.loop, self.open)
-        self.message_timeout = MessageTimeout(pool.backend.loop, MESSAGE_TIMEOUT_NS, self._on_message_timeout)
+        self.reconnect_timer = ReconnectTimer(pool.services.loop, self.open)
+        self.message_timeout = MessageTimeout(
+            pool.services.loop, MESSAGE_TIMEOUT_NS, self._on_message_timeout
+        )
 
     @property
     def up(self) -> bool:
@@ -75,22 +96,22 @@
         self.reconnect_timer.cancel()
         self.parser = binary.BinaryParser()
         try:
-            self.stream = connect(self.pool.backend.loop, self, self.endpoint.entry.address)
+            self.stream = connect(self.pool.services.loop, self, self.endpoint.entry.address)
         except (OSError, ValueError) as failure:  # out of descriptors, or the address is not valid
             logger.warning("cannot connect to {}: {}", self.endpoint.entry.uid, failure)
             error = failure if isinstance(failure, OSError) else OSError(errno.EINVAL, str(failure))
-            self.pool.backend.loop.timers.schedule(self.pool.backend.loop.now, partial(self.lost, error))
+            self.pool.services.loop.timers.schedule(self.pool.services.loop.now, partial(self.lost, error))
             return
-        self.reconnect_timer.start_connect_timeout(self.pool.backend.connect_timeout_ns, self.stream)
+        self.reconnect_timer.start_connect_timeout(self.pool.services.connect_timeout_ns, self.stream)
 
     def connected(self) -> None:
         self.has_received = False
-        self.opening = self.pool.monitor.connected(self.pool.backend.loop.now)
+        self.opening = self.pool.monitor.connected(self.pool.services.loop.now)
         self.reconnect_timer.reset_backoff()
         self.pool.flush_releases(self)
 
     def received(self, data: bytes) -> None:
-        now, monitor = self.pool.backend.loop.now, self.pool.monitor
+        now, monitor = self.pool.services.loop.now, self.pool.monitor
         monitor.data_received(now, self.opening.opened_ns, self.pool.oldest_call_ns)
         if not self.has_received:
             self.has_received = True
@@ -98,7 +119,7 @@
         try:
             messages = self.parser.feed(data)
             for message in messages:
-                self.pool.backend.handle_message(self, message)
+                self.pool.message_received(self, message)
             self.message_timeout.update(self.parser.pending, bool(messages))
         except binary.BinaryError as error:
             self._fail_unreadable(str(error))
@@ -109,7 +130,7 @@
         self._fail_unreadable(f"message timed out incomplete, starting with {self.parser.pending_hex}")
 
     def _fail_unreadable(self, reason: str) -> None:
-        self.pool.backend.report_unreadable(self.endpoint, reason)
+        self.pool.services.report_unreadable(self.endpoint, reason)
         if self.stream is not None:
             self.stream.fail(OSError(errno.EPROTO, reason))
 
@@ -121,7 +142,7 @@
         if stream is not None:
             # Guards against a call staying up at the server after its caller has ended it: a release that
             # was written may be lost with the connection.
-            since = self.pool.backend.loop.now - RELEASE_RESEND_WINDOW_NS
+            since = self.pool.services.loop.now - RELEASE_RESEND_WINDOW_NS
             releases, self.unacknowledged_releases = self.unacknowledged_releases, {}
             self.pool.queue_releases([r for r in releases.values() if r.written_ns > since])
         if self.endpoint.entry.state != TERMINATED:
@@ -134,7 +155,7 @@
 
     def _log_disconnect(self, was_up: bool, error: OSError | None, pending: int) -> None:
         name = "server.connection_lost" if was_up else "server.connect_failed"
-        self.pool.backend.core.metrics.count(name, disconnect_reason(error))
+        self.pool.services.core.metrics.count(name, disconnect_reason(error))
         event(name, "{server}: {reason}, {waiting} unanswered set-ups on the connection", level="DEBUG",
               server=self.endpoint.entry.uid, reason=disconnect_reason(error), waiting=pending)  # fmt: skip
 
@@ -148,7 +169,7 @@
         """Write a release and remember it until the server confirms it, which the server may omit."""
         if self.stream is None:
             return
-        self.unacknowledged_releases[call_id] = Release(call_id, data, self.pool.backend.loop.now)
+        self.unacknowledged_releases[call_id] = Release(call_id, data, self.pool.services.loop.now)
         if len(self.unacknowledged_releases) > MAX_UNACKNOWLEDGED:
             del self.unacknowledged_releases[next(iter(self.unacknowledged_releases))]
         self.stream.send(data)
@@ -190,9 +211,9 @@
 
     __slots__ = ("started_ns",)
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionOwner) -> None:
         super().__init__(pool)
-        self.started_ns = pool.backend.loop.now
+        self.started_ns = pool.services.loop.now
 
     @property
     def pending(self) -> bool:
@@ -207,7 +228,7 @@
 
     def connected(self) -> None:
         super().connected()
-        loop = self.pool.backend.loop
+        loop = self.pool.services.loop
         loop.timers.schedule(loop.now + GREETING_TIMEOUT_NS, self._finish)
 
     def _finish(self) -> None:
@@ -215,7 +236,7 @@
         if self.stream is None:
             return
         if not self.has_received:
-            self.pool.monitor.greeting_missing(self.pool.backend.loop.now)
+            self.pool.monitor.greeting_missing(self.pool.services.loop.now)
         self.stream.half_close()
 
     def lost(self, error: OSError | None) -> None:
@@ -224,10 +245,9 @@
         self.message_timeout.cancel()
         self.reconnect_timer.cancel()
         self._log_disconnect(was_up, error, 0)
-        if self in self.pool.checks:
-            self.pool.checks.remove(self)
+        self.pool.check_ended(self)
         if not was_up:
             self.pool.check_failed(error)
         elif not self.has_received and not was_closing:
             # The server accepted the connection and closed it at once.
-            self.pool.monitor.connection_limit_reached(self.pool.backend.loop.now)
+            self.pool.monitor.connection_limit_reached(self.pool.services.loop.now)
--- a/arrowrail/wire/binary/pool.py
+++ b/arrowrail/wire/binary/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import errno
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from arrowrail.core.requests import CAUSE_CONNECTION_FAILED, MS, Q850_NORMAL_CLEARING
 from arrowrail.failure_detection.endpoint import EndpointMonitor
@@ -19,9 +19,7 @@
     ServerConnection,
 )
 from arrowrail.wire.binary.messages import BinaryMessage
-
-if TYPE_CHECKING:
-    from arrowrail.wire.binary.backend import BinaryBackend
+from arrowrail.wire.binary.services import BackendServices
 
 # After a start of the controller, any server may hold calls of the previous process and reports their
 # releases on connections of this one.
@@ -29,6 +27,9 @@
 MAX_PENDING = 200  # per endpoint: releases waiting for a connection, recently cancelled set-ups
 
 
+MessageCallback = Callable[["ConnectionPool", ServerConnection, BinaryMessage], None]
+
+
 class ConnectionPool:
     """The connections to one endpoint.
 
@@ -37,9 +38,12 @@
     connection at once.
     """
 
-    def __init__(self, backend: BinaryBackend, endpoint: Endpoint, size: int) -> None:
-        self.backend, self.endpoint = backend, endpoint
-        self.monitor = EndpointMonitor(backend.loop.now)
+    def __init__(
+        self, services: BackendServices, endpoint: Endpoint, size: int, on_message: MessageCallback
+    ) -> None:
+        self.services, self.endpoint = services, endpoint
+        self._on_message = on_message
+        self.monitor = EndpointMonitor(services.loop.now)
         self.checks: list[ReachabilityCheck] = []  # oldest first
         self.may_hold_unknown_calls = False  # calls set up before the start of this process
         self.pending_releases: list[Release] = []  # releases waiting for a connection
@@ -47,6 +51,9 @@
         self.cancelled_set_ups: dict[str, ServerConnection] = {}
         self.connections = [ServerConnection(self) for _ in range(size)]
 
+    def message_received(self, connection: ServerConnection, message: BinaryMessage) -> None:
+        self._on_message(self, connection, message)
+
     def open(self) -> None:
         for connection in self.connections:
             connection.open()
@@ -85,7 +92,7 @@
             self.release(call_id, Q850_NORMAL_CLEARING)
         outcome = "no_connection" if unsent else "connection_lost"
         # A broken connection says nothing about the processor behind it; one that was never opened does.
-        self.backend.core.attempt_failed(
+        self.services.core.attempt_failed(
             self.endpoint, call_id, outcome, 0 if never_connected else CAUSE_CONNECTION_FAILED
         )
 
@@ -94,7 +101,7 @@
         """Whether connections are needed; a draining endpoint keeps them while it still has calls."""
         state = self.endpoint.entry.state
         if state == TERMINATING:
-            if self.backend.loop.now < self.backend.started_ns + RESTART_GRACE_NS:
+            if self.services.loop.now < self.services.started_ns + RESTART_GRACE_NS:
                 return True
             pending = (
                 self.may_hold_unknown_calls
@@ -106,7 +113,7 @@
 
     @property
     def established_calls(self) -> EstablishedCalls:
-        return self.backend.core.established_calls
+        return self.services.core.established_calls
 
     @property
     def oldest_call_ns(self) -> int:
@@ -117,7 +124,7 @@
         """The server has released a call, which shows that it held it if the call was established."""
         answered_ns = self.established_calls.answered_ns(self.endpoint.endpoint_id, call_id)
         if answered_ns:
-            self.monitor.call_released(self.backend.loop.now, answered_ns)
+            self.monitor.call_released(self.services.loop.now, answered_ns)
 
     def circuits_reported(self, opening: Opening, in_use: float) -> None:
         """Compare a report of the trunk group with the calls that the server should hold."""
@@ -125,8 +132,8 @@
         held = self.established_calls.circuits(
             endpoint.endpoint_id, monitor.identity.contradicted_ns, opening.opened_ns
         )
-        if monitor.circuits_reported(self.backend.loop.now, opening, in_use, held):
-            self.backend.core.metrics.count("server.contradicted")
+        if monitor.circuits_reported(self.services.loop.now, opening, in_use, held):
+            self.services.core.metrics.count("server.contradicted")
             event("server.contradicted", "{server} reports {in_use} circuits in use on a new connection, "
                   "its established calls occupy {held}", level="WARNING", server=endpoint.entry.uid,
                   in_use=in_use, held=held)  # fmt: skip
@@ -145,20 +152,25 @@
         if error is None or error.errno != errno.ECONNREFUSED:
             return
         if any(connection.up for connection in self.connections):
-            self.monitor.connection_limit_reached(self.backend.loop.now)
+            self.monitor.connection_limit_reached(self.services.loop.now)
         else:
-            self.monitor.connection_refused(self.backend.loop.now)
+            self.monitor.connection_refused(self.services.loop.now)
             self.check_server()
 
     def check_failed(self, error: OSError | None) -> None:
         if error is not None and error.errno == errno.ETIMEDOUT:
-            self.monitor.check_failed(self.backend.loop.now)
+            self.monitor.check_failed(self.services.loop.now)
         else:
             self.connection_failed(error)
 
+    def check_ended(self, check: ReachabilityCheck) -> None:
+        """A check's connection has ended; it may have been closed with the pool."""
+        if check in self.checks:
+            self.checks.remove(check)
+
     def check_server(self) -> None:
         """End the calls of a lost server, and start a reachability check of a silent one with calls."""
-        now, core = self.backend.loop.now, self.backend.core
+        now, core = self.services.loop.now, self.services.core
         loss = self.monitor.detect_loss(now)
         if loss is not None:
             core.endpoint_lost(self.endpoint, loss.reason, loss.before_ns)
@@ -182,7 +194,7 @@
         pending, self.pending_releases = self.pending_releases, []
         for release in pending:
             # Guards a call that is being set up here again: a late release would end the new set-up.
-            if not self.backend.core.has_attempt_at(release.call_id, self.endpoint):
+            if not self.services.core.has_attempt_at(release.call_id, self.endpoint):
                 connection.send_release(release.call_id, release.data)
 
     def release(self, call_id: str, cause: int) -> None:
