Keep a release for 8 s when its caller closes the connection that it was written to

What callers saw: one whose close crossed the release of its call, and who connected again 3 s later, was never told.

Cause: _write() shortened the release's time to 2 s, and connection_closed() left it so (wire/sip/releases.py).

Change: the time limit counts from the end of the call. A release is taken for delivered 2 s after it was written only while that connection is open.

Why it works: a closed connection says that the release may be lost, and the limit of 8 s is for just that.

--- a/arrowrail/wire/sip/releases.py
+++ b/arrowrail/wire/sip/releases.py
@@ -22,7 +22,8 @@
 RELEASE_LIFETIME_NS = 8_000 * MS  # how long a release waits for a connection before it is dropped
 # How long a release waits for a connection with a higher trust level; at most twice this time.
 BETTER_CONNECTION_WAIT_NS = 250 * MS
-# A release written within this time before its connection closed may have crossed the close and be lost.
+# A release written within this time before its connection closed may have crossed the close and be lost; one
+# whose connection stays open for longer is taken for delivered.
 DELIVERY_GRACE_NS = 2_000 * MS
 
 
@@ -33,9 +34,14 @@
     call_id: str
     message: bytes
     created_ns: int
-    expires_ns: int
+    expires_ns: int  # counted from the end of the call, whatever was written meanwhile
     connection_id: int = 0
     trust_level: int = 0  # of the connection it was written to
+    delivered_ns: int = 0  # when it is taken for delivered if that connection is still open; 0: never
+
+    def is_settled(self, now: int) -> bool:
+        """Whether it needs no further attention: taken for delivered, or out of time."""
+        return self.expires_ns <= now or 0 < self.delivered_ns <= now
 
 
 class ReleaseDelivery:
@@ -63,7 +69,7 @@
         """Queue releases again that may be lost because the caller closed the connection meanwhile."""
         for release in self.pending.values():
             if release.connection_id == handle:
-                release.connection_id = 0
+                release.connection_id = release.delivered_ns = 0
 
     def expire(self, now: int) -> None:
         """Drop releases that found no connection in time, and those that had enough time to arrive."""
@@ -77,7 +83,7 @@
             event("release.undelivered", "no caller connection for {calls} releases: {ids}", level="WARNING",
                   calls=len(unsent), ids=first_ids(unsent))  # fmt: skip
         self.pending = {
-            call_id: release for call_id, release in self.pending.items() if release.expires_ns > now
+            call_id: release for call_id, release in self.pending.items() if not release.is_settled(now)
         }
 
     def deliver(self) -> None:
@@ -108,7 +114,7 @@
     def _write(self, release: PendingRelease, caller: CallerConnection) -> None:
         release.connection_id, release.trust_level = caller.handle, caller.trust_level
         if caller.has_answered_call:
-            release.expires_ns = min(release.expires_ns, self.loop.now + DELIVERY_GRACE_NS)
+            release.delivered_ns = self.loop.now + DELIVERY_GRACE_NS
         call_event("release.sent", release.call_id, "release written to connection {connection}",
                    connection=caller.serial)  # fmt: skip
         caller.stream.send(release.message)
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -234,6 +234,23 @@
         assert caller.receive_bye(CALL_A).call_id == CALL_A
 
 
+def test_a_release_that_crosses_the_close_of_its_connection_waits_for_the_next_one() -> None:
+    """Guards against a release being dropped 2 s after it was written to a connection that was closed."""
+    server = ListeningSocket()
+    with running_controller(list_entry("d1", server.address, 1)) as run:
+        peer, caller = server.accept_binary(), Caller(run.port)
+        caller.invite(CALL_A)
+        receive_set_up(peer, CALL_A)
+        send_binary(peer, binary.ANSWER, CALL_A, session_description=ANSWER)
+        caller.receive_response(CALL_A)
+        releases = run.controller.frontend.releases
+        send_binary(peer, binary.RELEASE, CALL_A, cause=16)
+        run.wait_until(lambda: any(release.connection_id for release in releases.pending.values()))
+        caller.sock.close()
+        time.sleep(3.0)
+        assert Caller(run.port).receive_bye(CALL_A).call_id == CALL_A
+
+
 def test_a_release_for_an_unreachable_exchange_is_sent_on_its_next_connection() -> None:
     server = ListeningSocket()
     with running_controller(list_entry("d1", server.address, 1)) as run:
