--- a/arrowrail/wire/binary/pool.py
+++ b/arrowrail/wire/binary/pool.py
@@ -135,7 +135,7 @@
         if monitor.circuits_reported(self.services.loop.now, opening, in_use, held):
             self.services.core.metrics.count("server.contradicted")
             event("server.contradicted", "{server} reports {in_use} circuits in use on a new connection, "
-                  "its established calls occupy {held}", level="WARNING", server=endpoint.entry.uid,
+                  "its established calls occupy {held}", level="DEBUG", server=endpoint.entry.uid,
                   in_use=in_use, held=held)  # fmt: skip
 
     def _close_drained(self) -> None:
