--- a/review/rig2.py
+++ b/review/rig2.py
@@ -528,7 +528,8 @@
         self.byes: dict[str, float] = {}
         self.test_passed = False
         self.closed_s: float | None = None  # when the controller closed it
-        self.unreadable = False
+        self.within_message = False  # a message is half written: what else there is to say waits
+        self.waiting: list[bytes] = []
 
     @classmethod
     async def open(cls, rig: Rig, name: str) -> Caller:
@@ -551,6 +552,26 @@
     def close(self) -> None:
         self.transport.close()
 
+    def say(self, message: bytes) -> None:
+        """Write a whole message, but never into the middle of another one."""
+        if self.within_message:
+            self.waiting.append(message)
+        else:
+            self.transport.write(message)
+
+    async def write_slowly(self, data: bytes, pieces: int, spread_s: float) -> None:
+        """Write a message in pieces over some time; the caller reads on meanwhile."""
+        size = -(-len(data) // pieces)
+        self.within_message = True
+        for n in range(pieces):
+            if n and spread_s:
+                await asyncio.sleep(spread_s / (pieces - 1))
+            self.transport.write(data[n * size : (n + 1) * size])
+        self.within_message = False
+        waiting, self.waiting = self.waiting, []
+        for message in waiting:
+            self.transport.write(message)
+
     def send_test(self) -> None:
         self.transport.write(
             b"OPTIONS sip:ping@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 00000000000000f0\r\n"
@@ -583,12 +604,12 @@
             elif method == "INVITE" and status >= 200:
                 at_s = self.rig.note(self.name, f"{call_id} is answered {status}")
                 self.answers.setdefault(call_id, []).append((at_s, status))
-                self.transport.write(request("ACK", call_id))
+                self.say(request("ACK", call_id))
         elif first.startswith("BYE "):
             self.byes[call_id] = self.rig.note(
                 self.name, f"{call_id} is released, {headers.get('Reason', '')}"
             )
-            self.transport.write(
+            self.say(
                 f"SIP/2.0 200 OK\r\nVia: {headers['Via']}\r\nCall-ID: {call_id}\r\nCSeq: {sequence}\r\n"
                 "Content-Length: 0\r\n\r\n".encode()
             )
