Review: the stand-ins say nothing more once the record is closed

Cause: a call that ended after the verdict wrote into the closed record. Change: a guard in rig2.py; a second start of the controller finds its folder.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -55,7 +55,8 @@
 
     def note(self, who: str, what: str) -> float:
         now = self.now()
-        self.record.write(f"{now:9.3f} {who}: {what}\n")
+        if not self.record.closed:
+            self.record.write(f"{now:9.3f} {who}: {what}\n")
         return now
 
     def spawn(self, work: Awaitable[None]) -> None:
@@ -85,13 +86,13 @@
         path = Path(self.temporary.name) / "config.json"
         path.write_text(json.dumps(config))
         private = Path(self.temporary.name) / "tmp"
-        private.mkdir()
+        private.mkdir(exist_ok=True)
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environment = os.environ | {
             "PROXY_CONFIG": str(path), "PROXY_LISTEN": config["listen"], "PROXY_NAME": "n0",
             "TMPDIR": str(private),
         }  # fmt: skip
-        log = (Path(self.temporary.name) / "log").open("wb")
+        log = (Path(self.temporary.name) / "log").open("ab")
         self.controller = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL,
             stdout=log, stderr=log,
