--- a/review/rig2.py
+++ b/review/rig2.py
@@ -607,9 +607,8 @@
                 self.answers.setdefault(call_id, []).append((at_s, status))
                 self.say(request("ACK", call_id))
         elif first.startswith("BYE "):
-            self.byes[call_id] = self.rig.note(
-                self.name, f"{call_id} is released, {headers.get('Reason', '')}"
-            )
+            at_s = self.rig.note(self.name, f"{call_id} is released, {headers.get('Reason', '')}")
+            self.byes.setdefault(call_id, at_s)
             self.say(
                 f"SIP/2.0 200 OK\r\nVia: {headers['Via']}\r\nCall-ID: {call_id}\r\nCSeq: {sequence}\r\n"
                 "Content-Length: 0\r\n\r\n".encode()
