--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,14 +19,15 @@
 async def scenario(rig: rig2.Rig) -> list[str]:
     first = rig2.Desk(rig, "s-first", 2).start()
     other = rig2.Desk(rig, "s-other", 1).start()
+    more = [rig2.Desk(rig, f"s-more-{n}", n).start() for n in (4, 5)]  # BRIEF: 5 to 7 desk exchanges
     bus = await rig2.Bus(rig).start()
     proxy = await rig2.DelayingProxy(rig, bus.address).start()  # delays nothing, notes what was handed over
     known = [
         rig2.list_entry("s-own", f"127.0.0.1:{rig2.free_port()}", 0),
         rig2.list_entry("s-first", first.address, 2),
         rig2.list_entry("s-other", other.address, 1),
-    ]
-    await rig.start_controller(known, proxy.address, instances=4)
+    ] + [rig2.list_entry(desk.name, desk.address, desk.exchange) for desk in more]
+    await rig.start_controller(known, proxy.address, instances=5)
     callers = await rig2.Caller.open(rig, "callers")
     begin_s = rig.now()
     in_transit: set[str] = set()
