Refuse a repeated set-up only where its class or its attempts allow it

Cause: ended_calls kept an expiry time alone, so that each known id got 503, whatever became of its attempts and whatever its class allows. Evidence: no event of the decision module stands between the repeat and its 503, and a call that stood to its end gets the same. Logs could not tell who answered; the counter and event request.repeated do now.

Change: deduplication/repeats.py decides without I/O from the evidence kept of an ended call (state/ended_calls.py): 400 for another call's id, 500 where the call may have run and must not run twice, 503 otherwise; a set-up whose caller left before any attempt is taken as new. Backends report a set-up withdrawn before its first byte. Each refusal is checked against the same rule.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -28,10 +28,13 @@
     ReleaseOutcome,
     Request,
     SetUpParams,
+    SubmitResult,
 )
 from arrowrail.core.rules import violated_rule
+from arrowrail.deduplication.repeats import RepeatDecision, decide_repeat, may_refuse, proves_never_ran
 from arrowrail.failure_detection.address_reuse import find_predecessors
 from arrowrail.shutdown.plan import ShutdownPlan
+from arrowrail.state.ended_calls import RETENTION_NS, EndedCall, EndedCalls
 from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
 from arrowrail.state.established_calls import EstablishedCalls
 from arrowrail.state.slots import SlotTable
@@ -45,8 +48,11 @@
 # How long after its deadline a request without a final response is failed: the decision module gets time to
 # respond, and the response still falls within the tolerance of all known installations.
 OVERDUE_GRACE_NS = 10 * MS
-ENDED_CALL_RETENTION_NS = 30_000 * MS  # how long late messages of an ended call are recognized
-MAX_ENDED_CALLS = 65_536  # bounds the memory used during a flood of refused set-ups
+RESULT_BY_REPEAT_DECISION = {
+    RepeatDecision.REFUSE: SubmitResult.REFUSED,
+    RepeatDecision.FAIL: SubmitResult.FAILED,
+    RepeatDecision.CONFLICT: SubmitResult.CONFLICT,
+}
 
 
 class Core:
@@ -59,7 +65,8 @@
         self.registry = EndpointRegistry()
         self.requests: SlotTable[Request] = SlotTable()
         self.request_handles: dict[str, int] = {}
-        self.ended_calls: dict[str, int] = {}  # expiry time by call id, oldest first
+        self.ended_calls = EndedCalls()
+        self._single_run_classes = {c.name for c in settings.classes if not c.repeatable}
         self.backends: dict[str, Backend] = {}
         self.frontends: list[Frontend] = []
         self.events: list[interface.Event] = []
@@ -78,11 +85,16 @@
 
     # --- Called by frontends ----------------------------------------------------------------------------
 
-    def submit(self, frontend: Frontend, connection_id: int, params: SetUpParams) -> bool:
-        """Accept a request; false if its call id is already known, since each id gets one final response."""
-        if params.call_id in self.request_handles or params.call_id in self.ended_calls:
-            return False
-        request = Request(params, frontend, connection_id)
+    def submit(self, frontend: Frontend, connection_id: int, params: SetUpParams) -> SubmitResult:
+        """Accept a request, unless its call id is already known: each id gets one final response."""
+        fingerprint = params.fingerprint()
+        known = self._known_call(frontend, params, fingerprint)
+        if known is not None:
+            self.metrics.count("request.repeated", known.value)
+            call_event("request.repeated", params.call_id, "its call id is known: {result}",
+                       result=known.value)  # fmt: skip
+            return known
+        request = Request(params, frontend, connection_id, fingerprint)
         request.handle = self.requests.add(request)
         self.request_handles[params.call_id] = request.handle
         self.unanswered += 1
@@ -94,17 +106,18 @@
             if not self.shutdown_plan.accepts_requests(self.now):
                 self.metrics.count("request.refused", SHUTDOWN)
                 self.rejected.append((request, FinalResponse(REFUSED, outcome=SHUTDOWN)))
-                return True
+                return SubmitResult.ACCEPTED
             params = request.params = replace(
                 params, deadline_ns=self.shutdown_plan.answer_deadline_ns(params.deadline_ns)
             )
         if self.admission is not None:
             request.received_ns = self.now
-            params, refusal = self.admission.admit(self.now, (id(frontend), connection_id), params)
+            request.admission_key = (id(frontend), connection_id)
+            params, refusal = self.admission.admit(self.now, request.admission_key, params)
             request.params = params
             if refusal is not None:
                 self.rejected.append((request, refusal))
-                return True
+                return SubmitResult.ACCEPTED
             request.admitted = True
         request.deadline_timer = self.timers.schedule(
             params.deadline_ns, lambda: self._deadline_reached(handle)
@@ -116,7 +129,36 @@
                 params.replaces_cut_call, params.via_exchange,
             )
         )  # fmt: skip
-        return True
+        return SubmitResult.ACCEPTED
+
+    def _known_call(self, frontend: Frontend, params: SetUpParams, fingerprint: int) -> SubmitResult | None:
+        """What becomes of a set-up whose call id is known; ``None`` for one to be accepted."""
+        request = self.find(params.call_id)
+        if request is not None:
+            same_call = request.fingerprint == fingerprint and request.frontend is frontend
+            return SubmitResult.OPEN if same_call else SubmitResult.CONFLICT
+        ended = self.ended_calls.get(params.call_id)
+        if ended is None:
+            return None
+        decision = decide_repeat(ended, fingerprint, self._is_repeatable(params))
+        if decision is not RepeatDecision.ACCEPT:
+            return RESULT_BY_REPEAT_DECISION[decision]
+        if any(getattr(known, "call_id", "") == params.call_id for known in self.events):
+            # The decision module has not yet been told of the end of the first one, and would mix them up.
+            return SubmitResult.REFUSED
+        self.ended_calls.remove(params.call_id)
+        return None
+
+    def _is_repeatable(self, params: SetUpParams) -> bool:
+        return (params.route or params.class_name) not in self._single_run_classes
+
+    def reject(self, call_id: str) -> str:
+        """Cancel a set-up that its frontend answers by itself; return the result: REFUSED or FAILED."""
+        request = self.find(call_id)
+        if request is None:
+            return FAILED
+        self.caller_abandoned(call_id, will_respond=True)
+        return REFUSED if may_refuse(request.may_have_run, self._is_repeatable(request.params)) else FAILED
 
     def supports_class(self, class_name: str) -> bool:
         """Whether set-ups of the class can be accepted at all."""
@@ -129,8 +171,11 @@
     def find(self, call_id: str) -> Request | None:
         return self.requests.get(self.request_handles.get(call_id, -1))
 
-    def caller_abandoned(self, call_id: str) -> bool:
-        """Cancel a set-up whose caller no longer waits; no final response is sent."""
+    def caller_abandoned(self, call_id: str, will_respond: bool = False) -> bool:
+        """Cancel a set-up whose caller no longer waits.
+
+        ``will_respond``: the frontend sends it a final response by itself.
+        """
         request = self.find(call_id)
         if request is None or request.established:
             return False
@@ -139,8 +184,9 @@
         call_event("request.caller_gone", call_id, "the caller has abandoned the set-up")
         attempt = request.current_attempt
         if attempt is not None:
-            self._backend(attempt.endpoint).cancel_set_up(attempt.endpoint, call_id)
-            self._attempt_ended(request, attempt, "called_off", 0, True)
+            unsent = self._backend(attempt.endpoint).cancel_set_up(attempt.endpoint, call_id)
+            self._attempt_ended(request, attempt, "called_off", 0, True, unsent)
+        request.has_response = will_respond
         self._remove_request(request)
         return True
 
@@ -151,7 +197,7 @@
             return False
         attempt = request.current_attempt
         if not request.established:
-            return self.caller_abandoned(call_id)
+            return self.caller_abandoned(call_id, will_respond=True)
         self._backend(attempt.endpoint).release(attempt.endpoint, call_id, Q850_NORMAL_CLEARING)
         self._call_ended(request, attempt, "called_off", "caller")
         return True
@@ -173,7 +219,7 @@
             return
         if request.established:
             return  # duplicate answer
-        request.established = True
+        request.established = request.may_have_run = request.has_response = True
         attempt.answered_ns = self.now
         self.established_calls.add(endpoint.endpoint_id, call_id, self.now, request.params.width)
         self.unanswered -= 1
@@ -204,7 +250,12 @@
                 call_event("release.unknown_call", call_id,
                            "released by {server}, unknown here; passed on to callers",
                            server=endpoint.entry.uid)  # fmt: skip
-                self.ended_calls[call_id] = self.now + ENDED_CALL_RETENTION_NS
+                self.ended_calls.add(
+                    call_id,
+                    EndedCall(
+                        self.now + RETENTION_NS, None, attempted=True, may_have_run=True, has_response=True
+                    ),
+                )
                 for frontend in self.frontends:
                     frontend.release_unknown(call_id, cause)
             return
@@ -349,8 +400,7 @@
 
     def process_events(self) -> None:
         """Pass the collected events to the decision module as one batch and execute its actions."""
-        while self.ended_calls and next(iter(self.ended_calls.values())) < self.now:
-            del self.ended_calls[next(iter(self.ended_calls))]
+        self.ended_calls.expire(self.now)
         if self.rejected:
             self._answer_rejected()
         if not self.events:
@@ -377,6 +427,7 @@
         rejected, self.rejected = self.rejected, []
         for request, response in rejected:
             if self.requests.get(request.handle) is request:
+                request.has_response = True
                 self._remove_request(request)
                 request.frontend.respond(request, response)
 
@@ -467,8 +518,8 @@
             self._cancel_attempt(request, attempt, "no_answer")
 
     def _cancel_attempt(self, request: Request, attempt: Attempt, outcome: str) -> None:
-        self._backend(attempt.endpoint).cancel_set_up(attempt.endpoint, request.params.call_id)
-        self._attempt_ended(request, attempt, outcome, 0, False)
+        unsent = self._backend(attempt.endpoint).cancel_set_up(attempt.endpoint, request.params.call_id)
+        self._attempt_ended(request, attempt, outcome, 0, False, unsent)
 
     def _send_failure(self, call_id: str, result: str, retry_after_ns: int) -> None:
         request = self.find(call_id)
@@ -476,18 +527,30 @@
             return
         if request.current_attempt is not None:
             self._cancel_attempt(request, request.current_attempt, "called_off")
+        if not may_refuse(request.may_have_run, self._is_repeatable(request.params)):
+            result = FAILED
         outcome, cause = request.last_outcome
         self.metrics.count(f"request.{result}", outcome)
         call_event("request.answered", call_id,
                    "{kind} after {attempts} attempts; outcome of the last one: {outcome}",
                    kind=result, attempts=request.attempts, outcome=outcome or "none")  # fmt: skip
+        request.has_response = True
         self._remove_request(request)
         request.frontend.respond(request, FinalResponse(result, b"", retry_after_ns, outcome, cause))
 
     def _attempt_ended(
-        self, request: Request, attempt: Attempt, outcome: str, cause: int, call_ended: bool
+        self,
+        request: Request,
+        attempt: Attempt,
+        outcome: str,
+        cause: int,
+        call_ended: bool,
+        unsent: bool = False,
     ) -> None:
+        """End an attempt; ``unsent``: it was withdrawn before any byte of it was written."""
         request.current_attempt = None
+        if not unsent and not proves_never_ran(outcome):
+            request.may_have_run = True
         request.last_outcome = (outcome, cause)
         self.metrics.count("attempt.ended", outcome)
         call_event("attempt.ended", request.params.call_id, "attempt {attempt} at {server}: {outcome}",
@@ -530,16 +593,22 @@
             request.deadline_timer.cancel()
         self.requests.remove(request.handle)
         del self.request_handles[request.params.call_id]
-        self.ended_calls[request.params.call_id] = self.now + ENDED_CALL_RETENTION_NS
-        if len(self.ended_calls) > MAX_ENDED_CALLS:
-            del self.ended_calls[next(iter(self.ended_calls))]
+        self.ended_calls.add(
+            request.params.call_id,
+            EndedCall(
+                self.now + RETENTION_NS,
+                request.fingerprint,
+                attempted=request.attempts > 0,
+                may_have_run=request.may_have_run,
+                has_response=request.has_response,
+            ),
+        )
 
     def _set_up_finished(self, request: Request) -> None:
         if request.admitted and self.admission is not None:
             request.admitted = False
-            connection = (id(request.frontend), request.connection_id)
             self.admission.set_up_finished(
-                self.now, connection, request.params, self.now - request.received_ns
+                self.now, request.admission_key, request.params, self.now - request.received_ns
             )
 
     def _backend(self, endpoint: Endpoint) -> Backend:
--- a/arrowrail/core/requests.py
+++ b/arrowrail/core/requests.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import Enum
 from typing import Protocol
 
 from arrowrail.state.endpoints import Endpoint, EndpointEntry
@@ -36,6 +37,20 @@
     route: str = ""  # class name used by the decision module; empty: ``class_name``
     district: str = ""  # named by the caller; empty if not
 
+    def fingerprint(self) -> int:
+        """Return a hash that is equal for set-ups that differ at most in the deadline, in this process."""
+        return hash(replace(self, deadline_ns=0))
+
+
+class SubmitResult(Enum):
+    """What has become of a set-up that a frontend passed to the core."""
+
+    ACCEPTED = "accepted"  # a new request, which gets a final response
+    OPEN = "open"  # its call is open or established already
+    REFUSED = "refused"  # its call has ended, and trying again is harmless
+    FAILED = "failed"  # its call has ended and may have run
+    CONFLICT = "conflict"  # another call has its call id
+
 
 @dataclass(frozen=True, slots=True)
 class FinalResponse:
@@ -75,15 +90,19 @@
     params: SetUpParams
     frontend: Frontend
     connection_id: int  # the frontend's handle of the connection for the response
+    fingerprint: int  # of the set-up as it was received
     handle: int = 0
     attempts: int = 0  # made so far
     current_attempt: Attempt | None = None  # the pending or the established attempt
     established: bool = False
+    may_have_run: bool = False  # an attempt has ended without proof that it never ran
+    has_response: bool = False  # the final response was sent
     next_attempt_ns: int = 0  # no attempt may be sent before this time
     deadline_timer: Timer | None = None
     last_outcome: tuple[str, int] = ("", 0)  # outcome and cause of the last attempt
     received_ns: int = 0
     admitted: bool = False  # counted by admission control until the final response
+    admission_key: object = None  # the connection on which admission control counts it
 
 
 class Frontend(Protocol):
@@ -109,8 +128,11 @@
         """The list entry has changed: connect, withdraw set-ups that are still queued, or disconnect."""
 
     def set_up(self, endpoint: Endpoint, params: SetUpParams, timeout_ns: int) -> None: ...
-    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> None:
-        """Drop the set-up if it is still queued, else cancel it at the endpoint."""
+    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> bool:
+        """Drop the set-up if it is still queued, else cancel it at the endpoint.
+
+        Return whether it was dropped, so that it can't have run.
+        """
 
     def release(self, endpoint: Endpoint, call_id: str, cause: int) -> None: ...
     def address_taken(self, endpoint: Endpoint, started_ns: int) -> None:
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -101,7 +101,9 @@
         return True
 
     def endpoint_changed(self, endpoint: Endpoint) -> None: ...
-    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> None: ...
+    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> bool:
+        return False
+
     def set_up(self, endpoint: Endpoint, params: SetUpParams, timeout_ns: int) -> None:
         self.core.timers.schedule(
             self.core.now + MS, lambda: self.core.endpoint_answered(endpoint, params.call_id, b"answer")
--- a/arrowrail/wire/binary/backend.py
+++ b/arrowrail/wire/binary/backend.py
@@ -102,21 +102,26 @@
         )  # fmt: skip
         self._pool(endpoint).least_loaded(params.call_id).send_set_up(params.call_id, binary.encode(message))
 
-    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> None:
-        """Discard the set-up if it is still queued, otherwise send a release for it."""
+    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> bool:
+        """Discard the set-up if it is still queued, otherwise send a release for it.
+
+        Return whether it was discarded.
+        """
         pool = self.pools.get(endpoint.endpoint_id)
         connection = pool.find_connection(call_id) if pool is not None else None
         if pool is None or connection is None:
-            return
+            return False
         del connection.pending_set_ups[call_id]
         pool.cancelled_set_ups[call_id] = connection
         if len(pool.cancelled_set_ups) > MAX_PENDING:
             del pool.cancelled_set_ups[next(iter(pool.cancelled_set_ups))]
-        if connection.stream is not None and not connection.stream.discard_unsent(call_id):
-            # Sent on the connection of the set-up: on another one the release could overtake it.
-            connection.send_release(
-                call_id, binary.encode(BinaryMessage(binary.RELEASE, int(call_id, 16), cause=16))
-            )
+        if connection.stream is None or connection.stream.discard_unsent(call_id):
+            return True
+        # Sent on the connection of the set-up: on another one the release could overtake it.
+        connection.send_release(
+            call_id, binary.encode(BinaryMessage(binary.RELEASE, int(call_id, 16), cause=16))
+        )
+        return False
 
     def release(self, endpoint: Endpoint, call_id: str, cause: int) -> None:
         pool = self.pools.get(endpoint.endpoint_id)
--- a/arrowrail/wire/m3ua/backend.py
+++ b/arrowrail/wire/m3ua/backend.py
@@ -315,10 +315,14 @@
     def set_up(self, endpoint: Endpoint, params: SetUpParams, _timeout_ns: int) -> None:
         self._trunk_group(endpoint).set_up(params)
 
-    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> None:
+    def cancel_set_up(self, endpoint: Endpoint, call_id: str) -> bool:
         trunk_group = self.trunk_groups.get(endpoint.endpoint_id)
-        if trunk_group is not None and not trunk_group.discard_set_up(call_id):
-            trunk_group.release(call_id, causes.Q850_NORMAL_CLEARING)
+        if trunk_group is None:
+            return False
+        if trunk_group.discard_set_up(call_id):
+            return True
+        trunk_group.release(call_id, causes.Q850_NORMAL_CLEARING)
+        return False
 
     def release(self, endpoint: Endpoint, call_id: str, cause: int) -> None:
         trunk_group = self.trunk_groups.get(endpoint.endpoint_id)
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -4,7 +4,7 @@
 
 import re
 import socket
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from arrowrail.core.engine import Core
 from arrowrail.core.requests import (
@@ -16,6 +16,7 @@
     FinalResponse,
     Request,
     SetUpParams,
+    SubmitResult,
 )
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
@@ -259,23 +260,21 @@
         return dialog is not None and not dialog.established
 
     def _invite(self, caller: CallerConnection, message: sip.SipMessage) -> None:
-        call_id = message.call_id
         try:
             params = parse_invite(message, self.loop.now, self.core.admission is not None)
             if not self.core.supports_class(params.class_name):
                 raise ValueError("unknown class")
-            request = self.core.find(call_id)
-            if request is not None and not is_same_call(
-                request.params, params, self.core.admission is not None
-            ):
-                raise ValueError("Call-ID is in use by another call")
         except ValueError as error:
             self.handle_malformed(caller, sip.Malformed(400, str(error), message, False))
             return
-        if not self.core.submit(self, caller.handle, params):
-            if request is None:  # the call is over, and its response may be lost
-                caller.stream.send(sip.response(503, message))
-            return  # a retransmission: the response to the first one answers both
+        result = self.core.submit(self, caller.handle, params)
+        if result is SubmitResult.CONFLICT:
+            reason = "Call-ID is in use by another call"
+            self.handle_malformed(caller, sip.Malformed(400, reason, message, False))
+        elif result in STATUS_BY_SUBMIT_RESULT:  # the call is over, and its response may be lost
+            caller.stream.send(sip.response(STATUS_BY_SUBMIT_RESULT[result], message))
+        if result is not SubmitResult.ACCEPTED:
+            return  # of an open call: the response to the first one answers both
         caller.has_sent_request = True
         message.body = b""
         self.dialogs[params.call_id] = Dialog(message)
@@ -294,7 +293,7 @@
             return
         request = self.core.find(call_id)
         origin = self.callers.get(request.connection_id) if request is not None else None
-        self.core.caller_abandoned(call_id)
+        self.core.caller_abandoned(call_id, will_respond=True)
         self._send_final_response(call_id, origin, sip.response(487, dialog.invite))
 
     # --- From the core ----------------------------------------------------------------------------------
@@ -352,19 +351,13 @@
 
 
 STATUS_BY_RESULT = {REFUSED: 503, FAILED: 500}
+STATUS_BY_SUBMIT_RESULT = {SubmitResult.REFUSED: 503, SubmitResult.FAILED: 500}
 
 
 HEX = re.compile(r"[0-9a-f]{1,16}")
 INTEGER = re.compile(r"-?[0-9]{1,12}")
 
 
-def is_same_call(one: SetUpParams, other: SetUpParams, routed: bool = False) -> bool:
-    """Whether two set-ups are equal, apart from the deadline and, if ``routed``, from the route."""
-    if routed:
-        one = replace(one, destination=-1, width=1, route="")
-    return replace(one, deadline_ns=0) == replace(other, deadline_ns=0)
-
-
 def _parse_integer(text: str, low: int, high: int) -> int:
     # Plain digits only: int() also accepts spaces and digits of other scripts, which other systems don't.
     if not INTEGER.fullmatch(text) or not low <= int(text) <= high:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -59,8 +59,9 @@
     def set_up(self, endpoint: Endpoint, _params: SetUpParams, timeout_ns: int) -> None:
         self.recorded.append(("set_up", endpoint.endpoint_id, timeout_ns))
 
-    def cancel_set_up(self, endpoint: Endpoint, _call_id: str) -> None:
+    def cancel_set_up(self, endpoint: Endpoint, _call_id: str) -> bool:
         self.recorded.append(("cancel_set_up", endpoint.endpoint_id))
+        return False
 
     def address_taken(self, endpoint: Endpoint, started_ns: int) -> None:
         self.recorded.append(("address_taken", endpoint.endpoint_id, started_ns))
@@ -69,8 +70,10 @@
 class CoreFixture:
     """A core with six endpoints in service and one set-up request."""
 
-    def __init__(self, **params: Any) -> None:
-        self.core = Core(read_settings(settings()), 1, TimerQueue(1))
+    def __init__(self, repeat: str = "free", **params: Any) -> None:
+        settings_json = settings()
+        settings_json["classes"][0]["repeat"] = repeat
+        self.core = Core(read_settings(settings_json), 1, TimerQueue(1))
         self.decision_module, self.signalling = ScriptedDecisionModule(), RecordingSignalling()
         self.core.decision_module = self.decision_module  # type: ignore[assignment]
         self.core.backends["binary"] = self.signalling
@@ -174,6 +177,23 @@
     assert fixture.run() == [("release", 16)]
 
 
+@pytest.mark.parametrize(
+    ("repeat", "outcome", "result"),
+    [
+        ("single_shot", "connection_lost", "failed"),
+        ("single_shot", "no_connection", "refused"),
+        ("free", "connection_lost", "refused"),
+    ],
+)
+def test_a_refusal_by_the_decision_module_is_sent_only_where_it_is_true(
+    repeat: str, outcome: str, result: str
+) -> None:
+    fixture = CoreFixture(repeat=repeat)
+    fixture.run(send_set_up(1))
+    fixture.fail_attempt(1, outcome)
+    assert fixture.run(interface.RefuseCall(CALL, 0)) == [("respond", result)]
+
+
 def test_an_attempt_ends_at_its_timeout_and_at_the_deadline_of_the_request() -> None:
     fixture = CoreFixture()
     assert fixture.run(send_set_up(1, 100)) == [("set_up", 1, 100 * MS)]
--- /dev/null
+++ b/tests/test_live_repeats.py
@@ -0,0 +1,135 @@
+"""Set-ups that come again with the same call id, over real sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from arrowrail.wire.binary import messages as binary
+from tests.live import (
+    Caller,
+    ListeningSocket,
+    Peer,
+    RunningController,
+    list_entry,
+    receive_release,
+    receive_set_up,
+    running_controller,
+    send_binary,
+    settings,
+)
+
+CALL_A, CALL_B = "00000000000000a1", "00000000000000b2"
+DeskPeer = Peer[binary.BinaryMessage]
+
+
+def settings_with_repeat(repeat: str, scope: str = "all") -> dict[str, Any]:
+    changed = settings()
+    changed["classes"][0] |= {"repeat": repeat, "dedup-scope": scope}
+    return changed
+
+
+@contextmanager
+def caller_and_desk(
+    repeat: str = "single_shot", scope: str = "all"
+) -> Iterator[tuple[RunningController, Caller, DeskPeer]]:
+    server = ListeningSocket()
+    with running_controller(
+        list_entry("d1", server.address, 1), settings_json=settings_with_repeat(repeat, scope)
+    ) as run:
+        desk = server.accept_binary()
+        run.wait_until(lambda: run.core.decision_module.trunk_groups[1].size > 0)
+        yield run, Caller(run.port), desk
+
+
+def repeat_status(run: RunningController, call_id: str = CALL_A, **invite: Any) -> int:
+    """Send the set-up on a new connection and return the status of the response."""
+    caller = Caller(run.port)
+    caller.invite(call_id, **invite)
+    return caller.receive_response(call_id).status
+
+
+@pytest.mark.parametrize(
+    ("repeat", "scope", "status"),
+    [("free", "all", 503), ("single_shot", "all", 500), ("guarded", "all", 503), ("guarded", "zone", 500)],
+)
+def test_a_set_up_repeated_after_a_reset_is_refused_only_if_its_class_may_run_twice(
+    repeat: str, scope: str, status: int
+) -> None:
+    """A 503 would let the caller place an order again that may have been carried out (review/9)."""
+    with caller_and_desk(repeat, scope) as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        caller.reset()
+        receive_release(desk, CALL_A)
+        assert repeat_status(run) == status
+
+
+def test_a_set_up_repeated_after_proof_that_it_never_ran_is_refused() -> None:
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.RELEASE, CALL_A, cause=34, reason="processor_full")
+        assert caller.receive_response(CALL_A).status == 503
+        caller.reset()
+        assert repeat_status(run) == 503
+
+
+def test_a_set_up_repeated_after_its_call_has_stood_has_failed() -> None:
+    """The call ran to its end: a 503 would promise that it had no effect."""
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A)
+        assert caller.receive_response(CALL_A).status == 200
+        send_binary(desk, binary.RELEASE, CALL_A, cause=16)
+        caller.receive_bye(CALL_A)
+        assert repeat_status(run) == 500
+
+
+def test_a_set_up_repeated_after_a_cancellation_or_a_timeout_has_failed() -> None:
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        caller.send("CANCEL", CALL_A)
+        assert caller.receive_response(CALL_A).status == 487
+        caller.invite(CALL_B, patience_ms=50)
+        receive_set_up(desk, CALL_B)
+        assert caller.receive_response(CALL_B).status == 500
+        assert [repeat_status(run, call_id) for call_id in (CALL_A, CALL_B)] == [500, 500]
+
+
+def test_a_set_up_whose_caller_left_before_any_attempt_is_accepted_when_it_comes_again() -> None:
+    server = ListeningSocket()
+    with running_controller(
+        list_entry("d1", server.address, 1), settings_json=settings_with_repeat("single_shot")
+    ) as run:
+        desk, caller = server.accept_binary(free=0), Caller(run.port)  # no circuit: the set-up waits
+        run.wait_until(lambda: run.core.decision_module.trunk_groups[1].size > 0)
+        caller.invite(CALL_A)
+        run.wait_until(lambda: run.core.find(CALL_A) is not None)
+        request = run.core.find(CALL_A)
+        assert request is not None and request.attempts == 0
+        caller.reset()
+        run.wait_until(lambda: run.core.find(CALL_A) is None)
+        again = Caller(run.port)
+        again.invite(CALL_A)
+        run.wait_until(lambda: run.core.find(CALL_A) is not None)
+        send_binary(desk, binary.GROUP_STATE, "0" * 16, free=10, size=10)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A)
+        assert again.receive_response(CALL_A).status == 200
+
+
+def test_the_id_of_an_ended_call_with_another_number_or_class_is_rejected() -> None:
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        caller.reset()
+        receive_release(desk, CALL_A)
+        assert repeat_status(run, replacement=("00000000000000ab", "00000000000000ac")) == 400
+        assert repeat_status(run, body=b"another description") == 400
+        assert repeat_status(run) == 500
--- a/trackhatch/controller.py
+++ b/trackhatch/controller.py
@@ -655,8 +655,7 @@
 
     def reject(self, call: Call) -> None:
         """Send the final response: failed where a refusal would claim that no attempt was executed."""
-        restricted = call.call_class.repeat == "single_shot" or call.call_class.repeat_scope != "all"
-        if call.executed_endpoint >= 0 and call.call_class.repeat != "free" and restricted:
+        if call.executed_endpoint >= 0 and not call.call_class.repeatable:
             self.actions.append(interface.FailCall(call.offer.call_id))
         else:
             retry_after = (
--- a/trackhatch/interface.py
+++ b/trackhatch/interface.py
@@ -48,6 +48,11 @@
             f"unknown value {self.repeat_scope!r}",
         )
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether a call that may have run may be refused, so that its caller sends it anew."""
+        return self.repeat == "free" or (self.repeat == "guarded" and self.repeat_scope == "all")
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
