Answer the open set-ups of a closed connection by what is known of them

Callers saw: a connection with unusable or stalled input was closed, and its open set-ups got 503 even where an order of a single_shot class had reached its desk exchange.

Cause: close_gracefully had 503 written into it. Core.reject now returns the result that class and attempts allow, by the same decision as for repeated set-ups.

--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -174,7 +174,7 @@
     def close_gracefully(self, caller: CallerConnection) -> None:
         """Reject the pending calls of a connection with unusable input, and close it."""
         for call_id in list(caller.pending_calls):
-            self._reject_pending(call_id, caller, 503)
+            self._reject_pending(call_id, caller)
         self.connection_closed(caller)
         caller.stream.close_gracefully(self._on_closed)
 
@@ -182,11 +182,16 @@
         if self.listener is not None:
             self.listener.resume()
 
-    def _reject_pending(self, call_id: str, caller: CallerConnection, status: int) -> None:
-        """End a pending set-up after unusable input from its caller, with its one final response."""
+    def _reject_pending(self, call_id: str, caller: CallerConnection, status: int = 0) -> None:
+        """End a pending set-up after unusable input from its caller, with its one final response.
+
+        Without a ``status`` the response depends on what is known of its attempts.
+        """
         dialog = self.dialogs[call_id]
-        self.core.caller_abandoned(call_id)
-        self._send_final_response(call_id, caller, sip.response(status, dialog.invite))
+        result = self.core.reject(call_id)
+        self._send_final_response(
+            call_id, caller, sip.response(status or STATUS_BY_RESULT[result], dialog.invite)
+        )
 
     def _close(self, caller: CallerConnection) -> None:
         caller.stream.close()
--- a/tests/test_live_repeats.py
+++ b/tests/test_live_repeats.py
@@ -133,3 +133,16 @@
         assert repeat_status(run, replacement=("00000000000000ab", "00000000000000ac")) == 400
         assert repeat_status(run, body=b"another description") == 400
         assert repeat_status(run) == 500
+
+
+@pytest.mark.parametrize(("repeat", "status"), [("free", 503), ("single_shot", 500)])
+def test_unusable_input_refuses_an_open_set_up_only_if_its_class_may_run_twice(
+    repeat: str, status: int
+) -> None:
+    """The order may have been carried out already when its caller's connection has to be closed."""
+    with caller_and_desk(repeat) as (_run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        caller.sock.sendall(b"no SIP message\r\n\r\n")
+        assert caller.receive_response(CALL_A).status == status
+        receive_release(desk, CALL_A)
