Answer a repeated open set-up on the connection on which it came last

Callers saw: a set-up sent again on a new connection, while the controller had not yet seen the end of the first one, got no answer at all; nor did one whose answer was written to the first connection unread, and its call stood without a caller. Over M3UA the same for an IAM that came over a second association.

Cause: a request kept the connection on which it came first, and each repeat was taken for a retransmission.

Change: a repeat on another connection moves the set-up there. Limits of a sidecar still count the set-up where it was admitted.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -87,14 +87,15 @@
 
     def submit(self, frontend: Frontend, connection_id: int, params: SetUpParams) -> SubmitResult:
         """Accept a request, unless its call id is already known: each id gets one final response."""
-        fingerprint = params.fingerprint()
-        known = self._known_call(frontend, params, fingerprint)
-        if known is not None:
+        known = self.repeat_result(frontend, params)
+        if known is SubmitResult.ACCEPTED:
+            self.ended_calls.remove(params.call_id)
+        else:
             self.metrics.count("request.repeated", known.value)
             call_event("request.repeated", params.call_id, "its call id is known: {result}",
                        result=known.value)  # fmt: skip
             return known
-        request = Request(params, frontend, connection_id, fingerprint)
+        request = Request(params, frontend, connection_id, params.fingerprint())
         request.handle = self.requests.add(request)
         self.request_handles[params.call_id] = request.handle
         self.unanswered += 1
@@ -131,23 +132,29 @@
         )  # fmt: skip
         return SubmitResult.ACCEPTED
 
-    def _known_call(self, frontend: Frontend, params: SetUpParams, fingerprint: int) -> SubmitResult | None:
-        """What becomes of a set-up whose call id is known; ``None`` for one to be accepted."""
+    def repeat_result(self, frontend: Frontend, params: SetUpParams) -> SubmitResult:
+        """What becomes of a set-up, by what is known of its call id; changes nothing."""
+        fingerprint = params.fingerprint()
         request = self.find(params.call_id)
         if request is not None:
             same_call = request.fingerprint == fingerprint and request.frontend is frontend
             return SubmitResult.OPEN if same_call else SubmitResult.CONFLICT
         ended = self.ended_calls.get(params.call_id)
         if ended is None:
-            return None
+            return SubmitResult.ACCEPTED
         decision = decide_repeat(ended, fingerprint, self._is_repeatable(params))
         if decision is not RepeatDecision.ACCEPT:
             return RESULT_BY_REPEAT_DECISION[decision]
         if any(getattr(known, "call_id", "") == params.call_id for known in self.events):
             # The decision module has not yet been told of the end of the first one, and would mix them up.
             return SubmitResult.REFUSED
-        self.ended_calls.remove(params.call_id)
-        return None
+        return SubmitResult.ACCEPTED
+
+    def move_request(self, call_id: str, connection_id: int) -> None:
+        """Send the response and the release of a call to another connection of its frontend."""
+        request = self.find(call_id)
+        if request is not None:
+            request.connection_id = connection_id
 
     def _is_repeatable(self, params: SetUpParams) -> bool:
         return (params.route or params.class_name) not in self._single_run_classes
--- a/arrowrail/wire/m3ua/frontend.py
+++ b/arrowrail/wire/m3ua/frontend.py
@@ -9,7 +9,14 @@
 from loguru import logger
 
 from arrowrail.core.engine import Core
-from arrowrail.core.requests import ESTABLISHED, MS, FinalResponse, Request, SetUpParams
+from arrowrail.core.requests import (
+    ESTABLISHED,
+    MS,
+    FinalResponse,
+    Request,
+    SetUpParams,
+    SubmitResult,
+)
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.state.timers import Timer
@@ -37,6 +44,7 @@
     association_handle: int
     established: bool = False
     clearing: bool = False  # a release was sent and its RLC is awaited
+    answer: bytes = b""  # session description of an established call
     t1_timer: Timer | None = None
 
 
@@ -135,9 +143,36 @@
         self, association: Association, key: CircuitKey, previous: Circuit | None, message: IsupMessage
     ) -> None:
         if previous is not None and not previous.clearing:
-            return  # a retransmission: the first IAM gets the one response
+            self._handle_repeated_iam(association, previous, message)
+            return
         if previous is not None:
             self._remove_circuit(previous)  # the client reuses the circuit, so it has received the release
+        circuit = Circuit(os.urandom(8).hex(), key, association.handle)
+        self.circuits[key] = circuit
+        params = self._params(circuit.call_id, message)
+        if isinstance(params, int):
+            self._send_release(circuit, params)
+        else:
+            self.key_by_call_id[circuit.call_id] = key
+            self.core.submit(self, association.handle, params)
+
+    def _handle_repeated_iam(self, association: Association, circuit: Circuit, message: IsupMessage) -> None:
+        """Move a call to the association on which its IAM came again.
+
+        On the same association it is a retransmission, and the first IAM gets the one response.
+        """
+        params = self._params(circuit.call_id, message)
+        if circuit.association_handle == association.handle or isinstance(params, int):
+            return
+        if self.core.repeat_result(self, params) is not SubmitResult.OPEN:
+            return
+        circuit.association_handle = association.handle
+        self.core.move_request(circuit.call_id, association.handle)
+        if circuit.established:
+            self._send_answer(association, circuit)
+
+    def _params(self, call_id: str, message: IsupMessage) -> SetUpParams | int:
+        """Return the parameters of a set-up from its IAM, or the cause if it can't be read as a call."""
         exchange = next(
             (
                 mapping.exchange
@@ -155,20 +190,14 @@
             ),
             None,
         )
-        circuit = Circuit(os.urandom(8).hex(), key, association.handle)
-        self.circuits[key] = circuit
-        if exchange is None or class_mapping is None or not message.called_number:
-            self._send_release(
-                circuit,
-                Q850_UNALLOCATED if exchange is None or not message.called_number else Q850_NOT_IMPLEMENTED,
-            )
-            return
-        self.key_by_call_id[circuit.call_id] = key
-        params = SetUpParams(
-            circuit.call_id, class_mapping.class_name, message.called_number, int(message.called_number, 16),
+        if exchange is None or not message.called_number:
+            return Q850_UNALLOCATED
+        if class_mapping is None:
+            return Q850_NOT_IMPLEMENTED
+        return SetUpParams(
+            call_id, class_mapping.class_name, message.called_number, int(message.called_number, 16),
             exchange, class_mapping.width, self.loop.now + class_mapping.deadline_ns, message.uui,
         )  # fmt: skip
-        self.core.submit(self, association.handle, params)
 
     # --- From the core ----------------------------------------------------------------------------------
 
@@ -190,12 +219,14 @@
             self.core.caller_released(circuit.call_id)
             self._send_release(circuit, Q850_INTERWORKING)
         else:
-            circuit.established = True
-            association.send_isup(circuit.key[0], IsupMessage(circuit.key[1], IsupMessageType.ACM))
-            association.send_isup(
-                circuit.key[0],
-                IsupMessage(circuit.key[1], IsupMessageType.ANM, uui=response.session_description),
-            )
+            circuit.established, circuit.answer = True, response.session_description
+            self._send_answer(association, circuit)
+
+    @staticmethod
+    def _send_answer(association: Association, circuit: Circuit) -> None:
+        point_code, cic = circuit.key
+        association.send_isup(point_code, IsupMessage(cic, IsupMessageType.ACM))
+        association.send_isup(point_code, IsupMessage(cic, IsupMessageType.ANM, uui=circuit.answer))
 
     def release(self, request: Request, cause: int) -> None:
         circuit = self._find_circuit(request.params.call_id)
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -23,6 +23,7 @@
 from arrowrail.wire.bad_input import MessageTimeout, RateLimitedWarning
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.sip import messages as sip
+from arrowrail.wire.sip.answers import UnacknowledgedAnswers
 from arrowrail.wire.sip.releases import ReleaseDelivery
 from arrowrail.wire.stream import Stream
 
@@ -105,6 +106,7 @@
 
     invite: sip.SipMessage
     established: bool = False
+    acknowledged: bool = False
 
 
 @dataclass(slots=True)
@@ -118,6 +120,7 @@
     callers: SlotTable[CallerConnection] = field(default_factory=SlotTable)
     dialogs: dict[str, Dialog] = field(default_factory=dict)
     listener: Listener | None = None
+    answers: UnacknowledgedAnswers = field(default_factory=UnacknowledgedAnswers)
     accepted_count: int = 0
     max_connections: int = 0  # 0: limited by the available descriptors only
     malformed_warning: RateLimitedWarning = field(init=False)
@@ -241,6 +244,8 @@
         if message.status or message.method in ("ACK", "NOTIFY"):
             if message.cseq_method == "BYE":
                 self.releases.acknowledged(message.call_id)
+            elif message.method == "ACK":
+                self._acknowledge(message.call_id)
             return
         if not message.call_id or not message.cseq_method:
             self.handle_malformed(caller, sip.Malformed(400, "no Call-ID or CSeq", message, False))
@@ -260,6 +265,12 @@
         else:
             caller.stream.send(sip.response(405, message))
 
+    def _acknowledge(self, call_id: str) -> None:
+        dialog = self.dialogs.get(call_id)
+        if dialog is not None:
+            dialog.acknowledged = True
+            self.answers.remove(call_id)
+
     def _is_pending(self, call_id: str) -> bool:
         dialog = self.dialogs.get(call_id)
         return dialog is not None and not dialog.established
@@ -278,13 +289,49 @@
             self.handle_malformed(caller, sip.Malformed(400, reason, message, False))
         elif result in STATUS_BY_SUBMIT_RESULT:  # the call is over, and its response may be lost
             caller.stream.send(sip.response(STATUS_BY_SUBMIT_RESULT[result], message))
+        elif result is SubmitResult.OPEN:
+            self._repeat_open(caller, message)
         if result is not SubmitResult.ACCEPTED:
-            return  # of an open call: the response to the first one answers both
+            return
         caller.has_sent_request = True
         message.body = b""
         self.dialogs[params.call_id] = Dialog(message)
         caller.pending_calls.add(params.call_id)
 
+    def _repeat_open(self, caller: CallerConnection, message: sip.SipMessage) -> None:
+        """Handle a repeated set-up whose call is open: on another connection, that one gets the response.
+
+        On the same connection it is a retransmission, and the response to the first one answers both.  Guards
+        against answering on a connection that its caller has given up, and whose end is not seen yet.
+        """
+        request, dialog = self.core.find(message.call_id), self.dialogs.get(message.call_id)
+        if request is None or dialog is None or request.connection_id == caller.handle:
+            return
+        message.body = b""
+        if request.established:
+            self._repeat_answer(caller, message, dialog)
+            return
+        previous = self.callers.get(request.connection_id)
+        if previous is not None:
+            previous.pending_calls.discard(message.call_id)
+        caller.pending_calls.add(message.call_id)
+        caller.has_sent_request = True
+        dialog.invite = message
+        self.core.move_request(message.call_id, caller.handle)
+
+    def _repeat_answer(self, caller: CallerConnection, message: sip.SipMessage, dialog: Dialog) -> None:
+        """Send the answer of an established call again, unless its caller has had it."""
+        description = self.answers.get(message.call_id)
+        if description is not None:
+            self.core.move_request(message.call_id, caller.handle)
+            self._send_answer(caller, message, description)
+            return
+        caller.stream.send(sip.response(500, message))
+        if not dialog.acknowledged:
+            # The answer is no longer known, so that nobody can use the call.
+            self.dialogs.pop(message.call_id, None)
+            self.core.caller_released(message.call_id)
+
     def _cancel(self, caller: CallerConnection, message: sip.SipMessage) -> None:
         call_id = message.call_id
         dialog = self.dialogs.get(call_id)
@@ -311,15 +358,10 @@
             return
         if response.result == ESTABLISHED:
             dialog.established = True
-            data = sip.response(
-                200, dialog.invite, (("Content-Type", "application/sdp"),), response.session_description
-            )
+            self.answers.add(call_id, response.session_description)
             if caller is not None:
                 caller.pending_calls.discard(call_id)
-                caller.stream.send(data)
-                if not caller.has_answered_call:
-                    caller.has_answered_call = True
-                    self.releases.deliver()
+                self._send_answer(caller, dialog.invite, response.session_description)
             return
         headers = (
             [("X-Later-Ms", str(-(-response.retry_after_ns // MS)))] if response.retry_after_ns > 0 else []
@@ -327,6 +369,12 @@
         status = 404 if response.outcome == NO_ROUTE else STATUS_BY_RESULT[response.result]
         self._send_final_response(call_id, caller, sip.response(status, dialog.invite, headers))
 
+    def _send_answer(self, caller: CallerConnection, invite: sip.SipMessage, description: bytes) -> None:
+        caller.stream.send(sip.response(200, invite, (("Content-Type", "application/sdp"),), description))
+        if not caller.has_answered_call:
+            caller.has_answered_call = True
+            self.releases.deliver()
+
     def _send_final_response(self, call_id: str, caller: CallerConnection | None, data: bytes) -> None:
         self.dialogs.pop(call_id, None)
         if caller is not None:
@@ -336,6 +384,7 @@
 
     def release(self, request: Request, cause: int) -> None:
         dialog = self.dialogs.pop(request.params.call_id, None)
+        self.answers.remove(request.params.call_id)
         uri = dialog.invite.uri if dialog is not None else "sip:peer@net"
         self._send_bye(request.params.call_id, uri, cause, self.callers.get(request.connection_id))
 
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -115,10 +115,13 @@
 
 
 @contextmanager
-def client_and_desk(deadline_ms: int = 8000) -> Iterator[tuple[RunningController, M3uaPeer, M3uaPeer]]:
+def client_and_desk(
+    deadline_ms: int = 8000, settings_json: dict[str, Any] | None = None
+) -> Iterator[tuple[RunningController, M3uaPeer, M3uaPeer]]:
     port = ListeningSocket()
     with running_controller(
-        operator=controller_records(desk_record("m1", port, 1, DESK_PC), deadline_ms=deadline_ms)
+        operator=controller_records(desk_record("m1", port, 1, DESK_PC), deadline_ms=deadline_ms),
+        settings_json=settings_json,
     ) as run:
         peer = accept_desk(port)
         run.wait_until(
@@ -215,6 +218,23 @@
         run.wait_until(lambda: not run.core.requests)
 
 
+def test_an_iam_repeated_on_another_association_is_answered_there() -> None:
+    """The answer used to go to the association of the first IAM, which may be dead."""
+    with client_and_desk() as (run, first, desk):
+        first.send_isup(7, IAM, called_number="1234", uui=b"offer")
+        sent = desk.expect_isup(IAM)
+        second = connect_client(run)
+        second.send_isup(7, IAM, called_number="1234", uui=b"offer")
+        second.send_message(MessageType.BEAT, HEARTBEAT=b"b")
+        second.expect(MessageType.BEAT_ACK)
+        first.reset()
+        desk.send_isup(sent.cic, ANM, uui=b"answer")
+        assert second.expect_isup(ANM, 7).uui == b"answer"
+        third = connect_client(run)
+        third.send_isup(7, IAM, called_number="1234", uui=b"offer")  # the answer was lost, too
+        assert third.expect_isup(ANM, 7).uui == b"answer"
+
+
 def test_circuit_reset_by_either_side_releases_its_call() -> None:
     with client_and_desk() as (run, caller, peer):
         for cic, resetting_peer in ((1, caller), (2, peer)):
--- a/tests/test_live_repeats.py
+++ b/tests/test_live_repeats.py
@@ -9,6 +9,7 @@
 import pytest
 
 from arrowrail.wire.binary import messages as binary
+from arrowrail.wire.sip import answers
 from tests.live import (
     Caller,
     ListeningSocket,
@@ -146,3 +147,65 @@
         caller.sock.sendall(b"no SIP message\r\n\r\n")
         assert caller.receive_response(CALL_A).status == status
         receive_release(desk, CALL_A)
+
+
+def test_an_open_set_up_repeated_on_another_connection_is_answered_there() -> None:
+    """The response used to go to the first connection, which its caller may have given up unseen."""
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        again = Caller(run.port)
+        again.invite(CALL_A)
+        run.wait_until(lambda: len(run.controller.frontend.callers) == 2)
+        again.send("OPTIONS", CALL_B)
+        assert again.receive_response(CALL_B, "OPTIONS").status == 200
+        caller.reset()
+        run.wait_until(lambda: len(run.controller.frontend.callers) == 1)
+        send_binary(desk, binary.ANSWER, CALL_A)
+        assert again.receive_response(CALL_A).status == 200
+        send_binary(desk, binary.RELEASE, CALL_A, cause=16)
+        assert again.receive_bye(CALL_A)
+
+
+def test_a_set_up_repeated_after_an_unread_answer_gets_the_answer_again_until_it_is_acknowledged() -> None:
+    """The answer may be lost with the first connection while the call stands."""
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A, session_description=b"desk")
+        run.wait_until(lambda: run.core.established_calls.count(1) == 1)
+        caller.reset()
+        again = Caller(run.port)
+        again.invite(CALL_A)
+        answer = again.receive_response(CALL_A)
+        assert (answer.status, answer.body) == (200, b"desk")
+        again.send("ACK", CALL_A)
+        assert repeat_status(run) == 500
+        send_binary(desk, binary.RELEASE, CALL_A, cause=16)
+        assert again.receive_bye(CALL_A)
+
+
+def test_a_set_up_repeated_on_its_own_connection_gets_one_response() -> None:
+    with caller_and_desk() as (_run, caller, desk):
+        caller.invite(CALL_A)
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A)
+        assert caller.receive_response(CALL_A).status == 200
+        caller.invite(CALL_A)
+        caller.send("OPTIONS", CALL_B)
+        assert caller.receive().call_id == CALL_B
+
+
+def test_a_call_whose_answer_is_no_longer_kept_is_released_when_its_set_up_comes_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(answers, "MAX_BYTES", 10)
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A, session_description=b"x" * 11)
+        assert caller.receive_response(CALL_A).status == 200
+        caller.reset()
+        assert repeat_status(run) == 500
+        receive_release(desk, CALL_A)
