Recognize an IAM that comes again after its association was lost

Callers saw: an order of a single_shot class over M3UA ran twice when its client lost the association and sent the IAM again on the same circuit.

Cause: the frontend draws an id for each IAM, so no repeat was recognized. The last given-up call of each circuit is remembered; an equal IAM is decided as over SIP, and released with cause 41 where the first may have run and must not run twice.

--- a/arrowrail/wire/m3ua/frontend.py
+++ b/arrowrail/wire/m3ua/frontend.py
@@ -4,7 +4,7 @@
 
 import os
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -12,6 +12,7 @@
 from arrowrail.core.requests import (
     ESTABLISHED,
     MS,
+    Q850_TEMPORARY_FAILURE,
     FinalResponse,
     Request,
     SetUpParams,
@@ -30,6 +31,7 @@
 
 RELEASE_LIFETIME_NS = 8_000 * MS  # how long a release waits for an association that can send it
 MAX_CLIENTS = 64
+MAX_GIVEN_UP = 4096  # calls of lost associations that are recognized when their IAM comes again
 # Q.850 causes: unallocated number; service not implemented; interworking, unspecified.
 Q850_UNALLOCATED, Q850_NOT_IMPLEMENTED, Q850_INTERWORKING = 1, 79, 127
 CircuitKey = tuple[int, int]  # point code of the client, CIC; the other point code is always our own
@@ -60,6 +62,7 @@
         self.associations: SlotTable[Association] = SlotTable()
         self.circuits: dict[CircuitKey, Circuit] = {}
         self.key_by_call_id: dict[str, CircuitKey] = {}
+        self._given_up: dict[CircuitKey, str] = {}  # last call id by circuit, oldest first
         self.listener: Listener | None = None
 
     def update_mappings(
@@ -120,9 +123,16 @@
             ):
                 self.core.caller_abandoned(circuit.call_id)
                 self._remove_circuit(circuit)
+                self._remember_given_up(circuit)
         if self.listener is not None:
             self.listener.resume()
 
+    def _remember_given_up(self, circuit: Circuit) -> None:
+        self._given_up.pop(circuit.key, None)
+        self._given_up[circuit.key] = circuit.call_id
+        if len(self._given_up) > MAX_GIVEN_UP:
+            del self._given_up[next(iter(self._given_up))]
+
     # --- From clients -----------------------------------------------------------------------------------
 
     def isup_received(self, association: Association, label: ProtocolData, message: IsupMessage) -> None:
@@ -149,13 +159,20 @@
             self._remove_circuit(previous)  # the client reuses the circuit, so it has received the release
         circuit = Circuit(os.urandom(8).hex(), key, association.handle)
         self.circuits[key] = circuit
+        given_up = self._given_up.pop(key, "")
         params = self._params(circuit.call_id, message)
         if isinstance(params, int):
             self._send_release(circuit, params)
+        elif given_up and message.uui and self._may_have_run(association, replace(params, call_id=given_up)):
+            self._send_release(circuit, Q850_TEMPORARY_FAILURE)
         else:
             self.key_by_call_id[circuit.call_id] = key
             self.core.submit(self, association.handle, params)
 
+    def _may_have_run(self, association: Association, params: SetUpParams) -> bool:
+        """Whether a set-up is that of a given-up call which may have run and must not run twice."""
+        return self.core.repeat_result(self, params) is SubmitResult.FAILED
+
     def _handle_repeated_iam(self, association: Association, circuit: Circuit, message: IsupMessage) -> None:
         """Move a call to the association on which its IAM came again.
 
--- a/tests/test_live_m3ua.py
+++ b/tests/test_live_m3ua.py
@@ -31,6 +31,7 @@
     operator_records,
     running_controller,
     send_binary,
+    settings,
 )  # fmt: skip
 
 IAM, ACM, ANM, REL, RLC = (
@@ -235,6 +236,26 @@
         assert third.expect_isup(ANM, 7).uui == b"answer"
 
 
+@pytest.mark.parametrize("repeat", ["free", "single_shot"])
+def test_an_iam_repeated_after_its_association_was_lost_runs_again_only_if_its_class_may(repeat: str) -> None:
+    """The first one may have run: an order of a class that must not run twice has failed."""
+    settings_json = settings()
+    settings_json["classes"][0]["repeat"] = repeat
+    with client_and_desk(settings_json=settings_json) as (run, client, desk):
+        client.send_isup(7, IAM, called_number="1234", uui=b"offer")
+        first = desk.expect_isup(IAM)
+        client.reset()
+        desk.expect_isup(REL, first.cic)
+        again = connect_client(run)
+        again.send_isup(7, IAM, called_number="1234", uui=b"offer")
+        if repeat == "free":
+            assert desk.expect_isup(IAM).uui == b"offer"
+        else:
+            assert again.expect_isup(REL, 7).cause == 41
+        again.send_isup(8, IAM, called_number="1234", uui=b"another")
+        assert desk.expect_isup(IAM).uui == b"another"
+
+
 def test_circuit_reset_by_either_side_releases_its_call() -> None:
     with client_and_desk() as (run, caller, peer):
         for cic, resetting_peer in ((1, caller), (2, peer)):
