--- a/arrowrail/lab/drills/__init__.py
+++ b/arrowrail/lab/drills/__init__.py
@@ -10,6 +10,7 @@
 DRILLS = {
     "sidecar": "three sidecars, their applications and exchanges: surge, drain, reload, kills",
     "soak": "short trials of controllers with many faults, one per seed, checked against all rules",
+    "hostile": "clients at full speed that don't read, stall or close early, beside a sound caller",
     "duties": "instances that share the probing of exchanges: kill, hang, partition, key rotation",
 }
 
