Don't send on the set-ups of a caller that has closed its connection

Callers saw: set-ups of a client that had left were sent to the exchange, 8 to 15 of 160 over 50 ms after the close on; each seizes a circuit.

Cause: the end of a connection was noticed only behind all input before it. Evidence: the new test writes five set-ups and the close while the loop stands still; sends them on.

Change: the state of the TCP connection (TCP_INFO) tells of the close; it is asked when a set-up is read and before each attempt, over SIP and M3UA. Releases of such a caller are carried out.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -480,6 +480,9 @@
                 )
             )
             return
+        if not request.frontend.is_caller_connected(request):
+            self._withhold_set_up(request, endpoint)
+            return
         if self.admission is not None:
             timeout_ns = timeout_ns or self.admission.attempt_timeout_ns(request.params)
         attempt = Attempt(request.attempts, endpoint, self.now)
@@ -497,6 +500,20 @@
                    attempt=attempt.number, server=endpoint.entry.uid)  # fmt: skip
         self._backend(endpoint).set_up(endpoint, request.params, attempt_deadline_ns - self.now)
 
+    def _withhold_set_up(self, request: Request, endpoint: Endpoint) -> None:
+        """Give up a set-up whose caller has left, instead of sending it.
+
+        The end of a connection is read only after the input before it, which may be much.
+        """
+        self.metrics.count("request.caller_left")
+        call_id, attempt_number = request.params.call_id, request.attempts
+        self.caller_abandoned(call_id)
+        self.events.append(
+            interface.AttemptEnded(
+                call_id, endpoint.endpoint_id, attempt_number, "not_sent", 0, True, 0, None
+            )
+        )
+
     # --- Timeouts and the end of attempts and calls -----------------------------------------------------
 
     def _deadline_reached(self, handle: int) -> None:
--- a/arrowrail/core/requests.py
+++ b/arrowrail/core/requests.py
@@ -113,6 +113,9 @@
     # Releases a call from before a restart, whose caller is not known.
     def release_unknown(self, call_id: str, cause: int) -> None: ...
 
+    def is_caller_connected(self, request: Request) -> bool:
+        """Whether the connection on which the request waits for its response is still open at both ends."""
+
     def flushed(self) -> bool:
         """Whether all output has been written."""
 
--- a/arrowrail/lab/bench.py
+++ b/arrowrail/lab/bench.py
@@ -97,6 +97,9 @@
 
     def release(self, request: Request, cause: int) -> None: ...
     def release_unknown(self, call_id: str, cause: int) -> None: ...
+    def is_caller_connected(self, request: Request) -> bool:
+        return True
+
     def flushed(self) -> bool:
         return True
 
--- a/arrowrail/wire/m3ua/frontend.py
+++ b/arrowrail/wire/m3ua/frontend.py
@@ -253,6 +253,11 @@
     def release_unknown(self, call_id: str, cause: int) -> None:
         """Do nothing: the circuit of a call from before a restart is not known."""
 
+    def is_caller_connected(self, request: Request) -> bool:
+        association = self.associations.get(request.connection_id)
+        stream = association.stream if association is not None else None
+        return stream is not None and not stream.peer_has_closed
+
     @property
     def connections(self) -> int:
         return len(self.associations)
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -283,6 +283,9 @@
         except ValueError as error:
             self.handle_malformed(caller, sip.Malformed(400, str(error), message, False))
             return
+        if caller.stream.peer_has_closed:
+            self.core.metrics.count("request.caller_left")
+            return  # nobody waits for an answer, and it has not been sent on
         result = self.core.submit(self, caller.handle, params)
         if result is SubmitResult.CONFLICT:
             reason = "Call-ID is in use by another call"
@@ -396,6 +399,10 @@
         data = sip.request("BYE", uri, self.address, call_id, 1, (("Reason", f"Q.850;cause={cause}"),))
         self.releases.send(call_id, data, caller)
 
+    def is_caller_connected(self, request: Request) -> bool:
+        caller = self.callers.get(request.connection_id)
+        return caller is not None and not caller.stream.peer_has_closed
+
     @property
     def connections(self) -> int:
         return len(self.callers)
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -22,6 +22,8 @@
 # Keeps the unsent data in the kernel's buffer small, since messages there can no longer be removed.
 NOTSENT_LOWAT = 4096
 TCP_NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
+# State of a connection that the peer has not closed: the first byte of TCP_INFO (tcp(7), net/tcp_states.h).
+TCP_ESTABLISHED = 1
 
 
 class StreamHandler(Protocol):
@@ -124,6 +126,16 @@
         except OSError:
             return False
 
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed or reset the connection, even if input of before is still unread."""
+        if not self.open:
+            return True
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
+        except (OSError, AttributeError):  # not a TCP connection, or a system without TCP_INFO
+            return False
+
     @property
     def flushed(self) -> bool:
         return not self._queue
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -39,6 +39,7 @@
     connections = 0
 
     def __init__(self) -> None:
+        self.caller_connected = True
         self.recorded: list[tuple[Any, ...]] = []
 
     def respond(self, _request: Request, response: FinalResponse) -> None:
@@ -50,6 +51,9 @@
     def release_unknown(self, call_id: str, _cause: int) -> None:
         self.recorded.append(("release_unknown", call_id))
 
+    def is_caller_connected(self, _request: Request) -> bool:
+        return self.caller_connected
+
     def flushed(self) -> bool:
         return True
 
@@ -194,6 +198,15 @@
     assert fixture.run(interface.RefuseCall(CALL, 0)) == [("respond", result)]
 
 
+def test_a_set_up_whose_caller_has_left_is_not_sent() -> None:
+    """Its connection's end may be read much later than the set-up, behind other input."""
+    fixture = CoreFixture()
+    fixture.signalling.caller_connected = False
+    assert fixture.run(send_set_up(1)) == []
+    assert fixture.core.find(CALL) is None and fixture.core.internal_errors == 0
+    assert fixture.pending_outcomes() == [("not_sent", True)]
+
+
 def test_an_attempt_ends_at_its_timeout_and_at_the_deadline_of_the_request() -> None:
     fixture = CoreFixture()
     assert fixture.run(send_set_up(1, 100)) == [("set_up", 1, 100 * MS)]
--- a/tests/test_live_repeats.py
+++ b/tests/test_live_repeats.py
@@ -209,3 +209,39 @@
         caller.reset()
         assert repeat_status(run) == 500
         receive_release(desk, CALL_A)
+
+
+def test_set_ups_of_a_caller_that_has_closed_are_not_sent_on() -> None:
+    """They used to be sent on while the end of the connection was unread behind them."""
+    with caller_and_desk() as (run, caller, desk):
+        calls = [f"{number:016x}" for number in range(1, 6)]
+
+        def write_and_close() -> None:  # while the loop stands still, so that all of it is unread
+            for call_id in calls:
+                caller.invite(call_id, body=b"x" * 14_000)
+            caller.send("OPTIONS", CALL_B)
+            caller.sock.close()
+
+        run.run_in_loop(write_and_close)
+        run.wait_until(lambda: len(run.controller.frontend.callers) == 0)
+        assert run.run_in_loop(lambda: run.core.metrics.value("attempt.sent")) == 0
+        other = Caller(run.port)
+        other.invite(CALL_A)
+        assert desk.receive(lambda m: m.message_type == binary.SET_UP).call_id == int(CALL_A, 16)
+
+
+def test_a_release_of_a_caller_that_has_closed_ends_its_call() -> None:
+    """Only set-ups need a caller that waits: a release is carried out."""
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A)
+        assert caller.receive_response(CALL_A).status == 200
+        other = Caller(run.port)
+
+        def release_and_close() -> None:
+            other.send("BYE", CALL_A)
+            other.sock.close()
+
+        run.run_in_loop(release_and_close)
+        receive_release(desk, CALL_A)
