Bound what callers' messages, responses and open set-ups hold in memory

Callers saw: beside 340 clients with heads of short fields that don't read, a process came near its limit, and is killed over it with all its calls.

Cause: every header field was kept until the call's end, responses were queued while further requests were read, and nothing bounded what all open set-ups hold.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -16,6 +16,7 @@
     ESTABLISHED,
     FAILED,
     MS,
+    OVER_LIMIT,
     Q850_NORMAL_CLEARING,
     Q850_TEMPORARY_FAILURE,
     REFUSED,
@@ -33,6 +34,7 @@
 from arrowrail.core.rules import violated_rule
 from arrowrail.deduplication.repeats import RepeatDecision, decide_repeat, may_refuse, proves_never_ran
 from arrowrail.failure_detection.address_reuse import find_predecessors
+from arrowrail.limits.memory import MemoryBudget
 from arrowrail.shutdown.plan import ShutdownPlan
 from arrowrail.state.ended_calls import RETENTION_NS, EndedCall, EndedCalls
 from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
@@ -48,6 +50,8 @@
 # How long after its deadline a request without a final response is failed: the decision module gets time to
 # respond, and the response still falls within the tolerance of all known installations.
 OVERDUE_GRACE_NS = 10 * MS
+DEFAULT_MEMORY_BUDGET_BYTES = 24 * 1024 * 1024
+MEMORY_RETRY_AFTER_NS = 1_000 * MS  # for callers whose set-ups are refused for lack of memory
 RESULT_BY_REPEAT_DECISION = {
     RepeatDecision.REFUSE: SubmitResult.REFUSED,
     RepeatDecision.FAIL: SubmitResult.FAILED,
@@ -58,13 +62,20 @@
 class Core:
     """Tracks requests, attempts and established calls, and executes the actions of the decision module."""
 
-    def __init__(self, settings: interface.Settings, seed: int, timers: TimerQueue) -> None:
+    def __init__(
+        self,
+        settings: interface.Settings,
+        seed: int,
+        timers: TimerQueue,
+        memory_budget_bytes: int = DEFAULT_MEMORY_BUDGET_BYTES,
+    ) -> None:
         self.settings = settings
         self.decision_module = Controller(settings, seed)
         self.timers = timers
         self.registry = EndpointRegistry()
         self.requests: SlotTable[Request] = SlotTable()
         self.request_handles: dict[str, int] = {}
+        self.memory_budget = MemoryBudget(memory_budget_bytes)
         self.ended_calls = EndedCalls()
         self._single_run_classes = {c.name for c in settings.classes if not c.repeatable}
         self.backends: dict[str, Backend] = {}
@@ -85,8 +96,13 @@
 
     # --- Called by frontends ----------------------------------------------------------------------------
 
-    def submit(self, frontend: Frontend, connection_id: int, params: SetUpParams) -> SubmitResult:
-        """Accept a request, unless its call id is already known: each id gets one final response."""
+    def submit(
+        self, frontend: Frontend, connection_id: int, params: SetUpParams, held_bytes: int = 0
+    ) -> SubmitResult:
+        """Accept a request, unless its call id is already known: each id gets one final response.
+
+        ``held_bytes`` is what the frontend keeps of its message until then.
+        """
         known = self.repeat_result(frontend, params)
         if known is SubmitResult.ACCEPTED:
             self.ended_calls.remove(params.call_id)
@@ -96,6 +112,7 @@
                        result=known.value)  # fmt: skip
             return known
         request = Request(params, frontend, connection_id, params.fingerprint())
+        request.origin = (id(frontend), connection_id)
         request.handle = self.requests.add(request)
         self.request_handles[params.call_id] = request.handle
         self.unanswered += 1
@@ -111,10 +128,16 @@
             params = request.params = replace(
                 params, deadline_ns=self.shutdown_plan.answer_deadline_ns(params.deadline_ns)
             )
+        if not self.memory_budget.may_hold(request.origin, held_bytes):
+            retry_after_ns = MEMORY_RETRY_AFTER_NS if self.settings.may_send_retry_after else 0
+            self.metrics.count("request.refused", "memory")
+            self.rejected.append((request, FinalResponse(REFUSED, b"", retry_after_ns, OVER_LIMIT)))
+            return SubmitResult.ACCEPTED
+        self.memory_budget.hold(request.origin, held_bytes)
+        request.held_bytes, request.is_held = held_bytes, True
         if self.admission is not None:
             request.received_ns = self.now
-            request.admission_key = (id(frontend), connection_id)
-            params, refusal = self.admission.admit(self.now, request.admission_key, params)
+            params, refusal = self.admission.admit(self.now, request.origin, params)
             request.params = params
             if refusal is not None:
                 self.rejected.append((request, refusal))
@@ -234,6 +257,7 @@
         if self.admission is not None:
             self.events += self.admission.attempt_ended(self.now, endpoint, "served", 0)
         self._cancel_timers(request, attempt)
+        request.params = replace(request.params, session_description=b"")  # no further attempt needs it
         self.metrics.count("request.stands")
         call_event("request.stands", call_id, "established at {server} by attempt {attempt}",
                    server=endpoint.entry.uid, attempt=attempt.number)  # fmt: skip
@@ -629,10 +653,13 @@
         )
 
     def _set_up_finished(self, request: Request) -> None:
+        if request.is_held:
+            request.is_held = False
+            self.memory_budget.free(request.origin, request.held_bytes)
         if request.admitted and self.admission is not None:
             request.admitted = False
             self.admission.set_up_finished(
-                self.now, request.admission_key, request.params, self.now - request.received_ns
+                self.now, request.origin, request.params, self.now - request.received_ns
             )
 
     def _backend(self, endpoint: Endpoint) -> Backend:
--- a/arrowrail/core/requests.py
+++ b/arrowrail/core/requests.py
@@ -102,7 +102,9 @@
     last_outcome: tuple[str, int] = ("", 0)  # outcome and cause of the last attempt
     received_ns: int = 0
     admitted: bool = False  # counted by admission control until the final response
-    admission_key: object = None  # the connection on which admission control counts it
+    is_held: bool = False  # counted by the memory budget until the final response
+    held_bytes: int = 0
+    origin: tuple[int, int] = (0, 0)  # frontend and connection on which limits count it, wherever it moves
 
 
 class Frontend(Protocol):
--- a/arrowrail/run/config.py
+++ b/arrowrail/run/config.py
@@ -13,6 +13,9 @@
 from trackhatch.interface import Settings
 from trackhatch.simhost import read_settings
 
+MIB = 1024 * 1024
+DEFAULT_MEMORY_MB = 192
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
@@ -27,6 +30,7 @@
     initial_offset: int  # event bus offset up to which the list is known
     settings: Settings
     connect_timeout_ns: int
+    memory_limit_bytes: int = DEFAULT_MEMORY_MB * MIB
 
 
 def load(path: str, listen_address: str = "") -> Config:
@@ -44,6 +48,7 @@
             initial_offset=int(known.get("offset", 0)),
             settings=read_settings(raw["settings"]),
             connect_timeout_ns=int(limits.get("connect-timeout-ns", 500_000_000)),
+            memory_limit_bytes=int((raw.get("limits") or {}).get("memory_mb", DEFAULT_MEMORY_MB)) * MIB,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"{path}: {error!r}") from error
--- a/arrowrail/run/main.py
+++ b/arrowrail/run/main.py
@@ -30,6 +30,7 @@
 
 # With 256 file descriptors, nine desk exchanges get 36 connections in total.
 MAX_CONNECTIONS_PER_EXCHANGE, DESCRIPTORS_PER_CONNECTION = 4, 64
+OPEN_REQUESTS_DIVISOR = 8  # of the memory limit, for what callers have sent and still wait for
 METRICS_INTERVAL_NS = 10_000 * MS  # between two log events with the counters
 FLUSH_TIMEOUT_NS = 500 * MS  # at exit, for responses that are not completely written
 
@@ -39,7 +40,9 @@
 
     def __init__(self, config: Config, operator_config: Controller | None = None) -> None:
         self.loop = Loop()
-        self.core = Core(config.settings, config.seed, self.loop.timers)
+        self.core = Core(
+            config.settings, config.seed, self.loop.timers, config.memory_limit_bytes // OPEN_REQUESTS_DIVISOR
+        )
         # A few connections per desk exchange only, so that most descriptors are left to callers.
         connections_per_exchange = max(
             1, min(MAX_CONNECTIONS_PER_EXCHANGE, config.max_sockets // DESCRIPTORS_PER_CONNECTION)
--- a/arrowrail/wire/m3ua/frontend.py
+++ b/arrowrail/wire/m3ua/frontend.py
@@ -167,7 +167,7 @@
             self._send_release(circuit, Q850_TEMPORARY_FAILURE)
         else:
             self.key_by_call_id[circuit.call_id] = key
-            self.core.submit(self, association.handle, params)
+            self.core.submit(self, association.handle, params, len(message.uui))
 
     def _may_have_run(self, association: Association, params: SetUpParams) -> bool:
         """Whether a set-up is that of a given-up call which may have run and must not run twice."""
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import re
 import socket
 from dataclasses import dataclass, field
@@ -28,6 +29,10 @@
 from arrowrail.wire.stream import Stream
 
 MAX_QUEUED_BYTES = 96 * 1024  # per connection; queues of hundreds of connections have to fit into memory
+# A caller with more than this queued for it doesn't read its responses: no further request of it is read, and
+# it is disconnected after a while.
+PAUSE_READING_BYTES = 16 * 1024
+PAUSED_TIMEOUT_NS = 3_000 * MS
 # Callers close connections after 4 s without calls: one that is idle for this long has lost its peer.
 IDLE_TIMEOUT_NS = 20_000 * MS
 # A caller has to get a response or a close within 3 s; this is the time it has to complete a message,
@@ -70,7 +75,10 @@
         self.handle = frontend.callers.add(self)
         self.message_timeout = MessageTimeout(frontend.loop, MESSAGE_TIMEOUT_NS, self._on_message_timeout)
         self.message_timeout.update(True, False)  # a silent caller is disconnected as well
-        self.stream = Stream(frontend.loop, sock, self, max_queued_bytes=MAX_QUEUED_BYTES)
+        self.stream = Stream(
+            frontend.loop, sock, self, max_queued_bytes=MAX_QUEUED_BYTES,
+            pause_reading_bytes=PAUSE_READING_BYTES,
+        )  # fmt: skip
 
     @property
     def trust_level(self) -> int:
@@ -203,6 +211,9 @@
     def _sweep(self) -> None:
         now = self.loop.now
         for caller in self.callers:
+            if 0 < caller.stream.paused_since_ns < now - PAUSED_TIMEOUT_NS:
+                caller.stream.fail(OSError(errno.ETIMEDOUT, "the caller doesn't read its responses"))
+                continue
             idle = not caller.pending_calls and now - caller.idle_since > IDLE_TIMEOUT_NS
             if idle and not caller.stream.has_unread_input:
                 self._close(caller)
@@ -286,7 +297,7 @@
         if caller.stream.peer_has_closed:
             self.core.metrics.count("request.caller_left")
             return  # nobody waits for an answer, and it has not been sent on
-        result = self.core.submit(self, caller.handle, params)
+        result = self.core.submit(self, caller.handle, params, message.held_bytes)
         if result is SubmitResult.CONFLICT:
             reason = "Call-ID is in use by another call"
             self.handle_malformed(caller, sip.Malformed(400, reason, message, False))
@@ -360,11 +371,12 @@
         if dialog is None:
             return
         if response.result == ESTABLISHED:
-            dialog.established = True
+            invite, dialog.established = dialog.invite, True
+            dialog.invite = sip.SipMessage("INVITE", invite.uri)  # all that a release needs
             self.answers.add(call_id, response.session_description)
             if caller is not None:
                 caller.pending_calls.discard(call_id)
-                self._send_answer(caller, dialog.invite, response.session_description)
+                self._send_answer(caller, invite, response.session_description)
             return
         headers = (
             [("X-Later-Ms", str(-(-response.retry_after_ns // MS)))] if response.retry_after_ns > 0 else []
--- a/arrowrail/wire/sip/messages.py
+++ b/arrowrail/wire/sip/messages.py
@@ -6,6 +6,12 @@
 from dataclasses import dataclass, field
 
 MAX_MESSAGE_SIZE = 16 * 1024
+MAX_VIAS = 70  # Max-Forwards of RFC 3261 allows no longer way; later values are dropped
+# All other header fields are free and are not kept, since their number and size are up to the peer.
+KEPT_HEADERS = frozenset({
+    "call-id", "content-length", "content-type", "cseq", "from", "reason", "subject", "to", "x-district",
+    "x-facts", "x-later-ms", "x-patience", "x-retry",
+})  # fmt: skip
 REASON_PHRASES = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Request Entity Too Large",
     405: "Method Not Allowed", 480: "Temporarily Unavailable", 481: "Call/Transaction Does Not Exist",
@@ -20,10 +26,18 @@
     method: str = ""
     uri: str = ""
     status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)  # by lower-case name; the first value of each
-    vias: list[str] = field(default_factory=list)  # all Via values in order, to be copied to the response
+    # By lower-case name, those of KEPT_HEADERS; the first value of each.
+    headers: dict[str, str] = field(default_factory=dict)
+    vias: list[str] = field(default_factory=list)  # Via values in order, to be copied to the response
     body: bytes = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the texts that are kept of the message."""
+        return (
+            len(self.uri) + len(self.body) + sum(map(len, self.headers.values())) + sum(map(len, self.vias))
+        )
+
     @property
     def call_id(self) -> str:
         return self.headers.get("call-id", "")
@@ -122,7 +136,8 @@
     name = ""
     for line in lines:
         if line[:1] in (" ", "\t") and name:  # a folded line continues the previous header
-            message.headers[name] += " " + line.strip()
+            if name in message.headers:
+                message.headers[name] += " " + line.strip()
             continue
         name, colon, value = line.partition(":")
         name = name.strip().lower()
@@ -130,8 +145,10 @@
         if not colon or not name:
             error, name = error or "header line without a name", ""
             continue
-        if name == "via":
+        if name == "via" and len(message.vias) < MAX_VIAS:
             message.vias.append(value.strip())
+        if name not in KEPT_HEADERS:
+            continue
         if name == "content-length" and message.headers.get(name, value.strip()) != value.strip():
             error, message.headers[name] = "conflicting Content-Length headers", ""
         message.headers.setdefault(name, value.strip())
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -83,13 +83,17 @@
         handler: StreamHandler,
         connecting: bool = False,
         max_queued_bytes: int = MAX_QUEUED_BYTES,
+        pause_reading_bytes: int = MAX_QUEUED_BYTES,
     ) -> None:
+        """Drive ``sock``; nothing is read while over ``pause_reading_bytes`` are queued for the peer."""
         self.loop, self.sock, self.handler = loop, sock, handler
         self.connecting = connecting
         self.open = True
         self.closing = False
         self._queue: deque[QueuedMessage] = deque()
-        self._queued_bytes, self._max_queued_bytes = 0, max_queued_bytes
+        self.queued_bytes, self._max_queued_bytes = 0, max_queued_bytes
+        self._pause_reading_bytes = pause_reading_bytes
+        self.paused_since_ns = 0  # since when input is left unread; 0: it is read
         self._mask = 0
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -104,8 +108,8 @@
         if not self.open or self.closing:
             return
         self._queue.append(QueuedMessage(data, tag))
-        self._queued_bytes += len(data)
-        if self._queued_bytes > self._max_queued_bytes:
+        self.queued_bytes += len(data)
+        if self.queued_bytes > self._max_queued_bytes:
             # Deferred to the event loop: the connection must not close while its handler is sending on it.
             self.loop.timers.schedule(
                 self.loop.now,
@@ -113,6 +117,8 @@
             )
         elif not self.connecting and len(self._queue) == 1:
             self._flush()
+        else:
+            self._update_watch()
 
     def is_unsent(self, tag: object) -> bool:
         """Whether the message is queued and no byte of it has been written."""
@@ -136,6 +142,11 @@
         except (OSError, AttributeError):  # not a TCP connection, or a system without TCP_INFO
             return False
 
+    @property
+    def reading_paused(self) -> bool:
+        """Whether input is left unread because the peer doesn't read what is queued for it."""
+        return self.queued_bytes > self._pause_reading_bytes
+
     @property
     def flushed(self) -> bool:
         return not self._queue
@@ -145,7 +156,7 @@
         for message in self._queue:
             if message.tag == tag and message.offset == 0:
                 self._queue.remove(message)
-                self._queued_bytes -= len(message.data)
+                self.queued_bytes -= len(message.data)
                 return True
         return False
 
@@ -196,7 +207,11 @@
         self.sock.close()
 
     def _update_watch(self) -> None:
-        mask = WRITE if self.connecting else READ | (WRITE if self._queue else 0)
+        mask = WRITE if self.connecting or self.reading_paused else READ | (WRITE if self._queue else 0)
+        if not self.reading_paused:
+            self.paused_since_ns = 0
+        elif not self.paused_since_ns:
+            self.paused_since_ns = self.loop.now
         if mask != self._mask:
             self._mask = mask
             self.loop.watch(self.sock, mask, self._on_ready)
@@ -242,7 +257,7 @@
                 if message.offset < len(message.data):
                     break
                 self._queue.popleft()
-                self._queued_bytes -= len(message.data)
+                self.queued_bytes -= len(message.data)
         except BlockingIOError:
             pass
         except OSError as error:
