Share the processing time for input among callers' connections

Cause: a turn handled up to 16 KiB of each connection, which is 150 requests or a head of 2,500 fields, before anything was decided; a head was parsed again for each piece of its body.

Change: scheduling/input_order.py decides without I/O whose input is handled next and for how long (least attained service first, known callers with little usage before all); wire/input_stage.py reads by it, over SIP and M3UA.

--- a/arrowrail/wire/m3ua/frontend.py
+++ b/arrowrail/wire/m3ua/frontend.py
@@ -21,6 +21,7 @@
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.state.timers import Timer
+from arrowrail.wire.input_stage import InputStage
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.m3ua import causes
 from arrowrail.wire.m3ua.association import ACTIVE, DOWN, Association, M3uaSettings
@@ -64,6 +65,7 @@
         self.key_by_call_id: dict[str, CircuitKey] = {}
         self._given_up: dict[CircuitKey, str] = {}  # last call id by circuit, oldest first
         self.listener: Listener | None = None
+        self.input_stage = InputStage(loop)
 
     def update_mappings(
         self, class_mappings: tuple[ClassMapping, ...], prefix_mappings: tuple[PrefixMapping, ...]
@@ -102,7 +104,7 @@
     def _on_accepted(self, sock: socket.socket) -> None:
         association = Association(self.loop, self.settings, self, False)
         association.handle = self.associations.add(association)
-        association.stream = Stream(self.loop, sock, association)
+        association.stream = Stream(self.loop, sock, association, input_stage=self.input_stage)
         association.connected()
 
     def association_active(self, association: Association) -> None:
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -22,6 +22,7 @@
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.wire.bad_input import MessageTimeout, RateLimitedWarning
+from arrowrail.wire.input_stage import InputStage
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.sip import messages as sip
 from arrowrail.wire.sip.answers import UnacknowledgedAnswers
@@ -77,7 +78,7 @@
         self.message_timeout.update(True, False)  # a silent caller is disconnected as well
         self.stream = Stream(
             frontend.loop, sock, self, max_queued_bytes=MAX_QUEUED_BYTES,
-            pause_reading_bytes=PAUSE_READING_BYTES,
+            pause_reading_bytes=PAUSE_READING_BYTES, input_stage=frontend.input_stage,
         )  # fmt: skip
 
     @property
@@ -133,8 +134,10 @@
     max_connections: int = 0  # 0: limited by the available descriptors only
     malformed_warning: RateLimitedWarning = field(init=False)
     releases: ReleaseDelivery = field(init=False)
+    input_stage: InputStage = field(init=False)
 
     def __post_init__(self) -> None:
+        self.input_stage = InputStage(self.loop)
         self.releases = ReleaseDelivery(self.loop, self.core, self.callers)
         self.malformed_warning = RateLimitedWarning(self.loop)
 
@@ -388,6 +391,7 @@
         caller.stream.send(sip.response(200, invite, (("Content-Type", "application/sdp"),), description))
         if not caller.has_answered_call:
             caller.has_answered_call = True
+            self.input_stage.call_answered(caller.stream)
             self.releases.deliver()
 
     def _send_final_response(self, call_id: str, caller: CallerConnection | None, data: bytes) -> None:
--- a/arrowrail/wire/sip/messages.py
+++ b/arrowrail/wire/sip/messages.py
@@ -60,16 +60,27 @@
     fatal: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ParsedHead:
+    """The head of a message, and the sizes of the head and of the whole message in bytes."""
+
+    message: SipMessage
+    error: str  # empty if the head is valid
+    size: int
+    total_size: int
+
+
 COMPACT_NAMES = {"i": "call-id", "v": "via", "l": "content-length", "s": "subject", "f": "from", "t": "to"}
 
 
 class SipParser:
     """Incremental parser: takes bytes as they arrive and returns complete messages."""
 
-    __slots__ = ("_buffer", "broken")
+    __slots__ = ("_buffer", "_head", "broken")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._head: ParsedHead | None = None  # of the message whose body is still incomplete
         self.broken = False  # after a fatal message: all further input is ignored
 
     @property
@@ -91,6 +102,23 @@
         return messages
 
     def _next(self) -> SipMessage | Malformed | None:
+        buffer = self._buffer
+        head = self._head
+        if head is None:
+            parsed = self._next_head()
+            if parsed is None or isinstance(parsed, Malformed):
+                return parsed
+            head = self._head = parsed
+        if len(buffer) < head.total_size:
+            return None
+        self._head = None
+        message = head.message
+        message.body = bytes(buffer[head.size : head.total_size])
+        del buffer[: head.total_size]
+        return Malformed(400, head.error, message, False) if head.error else message
+
+    def _next_head(self) -> ParsedHead | Malformed | None:
+        """Parse the next head, once: its body may arrive in many pieces."""
         buffer = self._buffer
         skipped = 0
         while buffer[skipped : skipped + 2] == b"\r\n":  # CRLF keep-alives between messages
@@ -111,11 +139,7 @@
         total = end + 4 + int(content_length[:12])
         if total > MAX_MESSAGE_SIZE:
             return Malformed(413, "message exceeds the size limit", message, True)
-        if len(buffer) < total:
-            return None
-        message.body = bytes(buffer[end + 4 : total])
-        del buffer[:total]
-        return Malformed(400, error, message, False) if error else message
+        return ParsedHead(message, error, end + 4, total)
 
 
 def parse_head(head: bytes) -> tuple[SipMessage, str]:
--- a/arrowrail/wire/stream.py
+++ b/arrowrail/wire/stream.py
@@ -14,8 +14,10 @@
 
 from arrowrail.loop import READ, WRITE, Loop
 from arrowrail.state.address import parse_address
+from arrowrail.wire.input_stage import InputStage
 
 READ_SIZE = 16 * 1024  # per connection and event loop iteration: a flooding peer doesn't starve the others
+SLICE_READ_SIZE = 2 * 1024  # at a time, for a stream whose processing time is limited
 LINGER_TIMEOUT_NS = 3_000_000_000  # for the peer of a closing stream to stop sending and close
 MAX_CLOSING = 32  # closing streams at a time; beyond them the oldest is closed at once
 MAX_QUEUED_BYTES = 256 * 1024  # a peer with more than this queued for it doesn't read: it is disconnected
@@ -84,8 +86,13 @@
         connecting: bool = False,
         max_queued_bytes: int = MAX_QUEUED_BYTES,
         pause_reading_bytes: int = MAX_QUEUED_BYTES,
+        input_stage: InputStage | None = None,
     ) -> None:
-        """Drive ``sock``; nothing is read while over ``pause_reading_bytes`` are queued for the peer."""
+        """Drive ``sock``; nothing is read while over ``pause_reading_bytes`` are queued for the peer.
+
+        ``input_stage`` decides when its input is read; without one it is read as soon as there is some.
+        """
+        self._input_stage = input_stage
         self.loop, self.sock, self.handler = loop, sock, handler
         self.connecting = connecting
         self.open = True
@@ -117,7 +124,7 @@
             )
         elif not self.connecting and len(self._queue) == 1:
             self._flush()
-        else:
+        elif not self.connecting:
             self._update_watch()
 
     def is_unsent(self, tag: object) -> bool:
@@ -202,6 +209,8 @@
 
     def _close_socket(self) -> None:
         self.open = False
+        if self._input_stage is not None:
+            self._input_stage.remove(self)
         self.loop.closing_streams.pop(self, None)
         self.loop.unwatch(self.sock)
         self.sock.close()
@@ -227,27 +236,43 @@
                 self.handler.connected()
                 self._flush()
                 return
-            if mask & READ:
-                self._read()
+            if mask & READ and self._input_stage is not None and not self.closing:
+                self._input_stage.readable(self)
+            elif mask & READ:
+                self._read(READ_SIZE)
             if mask & WRITE and self.open:
                 self._flush()
         except Exception:
-            # Guards against an error in the handler of one connection ending all others.
-            logger.exception("the handler of a connection raised an exception; closing the connection")
-            self.fail(OSError(errno.EPROTO, "handler raised an exception"))
+            self._fail_handler()
+
+    def _fail_handler(self) -> None:
+        """Guards against an error in the handler of one connection ending all others."""
+        logger.exception("the handler of a connection raised an exception; closing the connection")
+        self.fail(OSError(errno.EPROTO, "handler raised an exception"))
+
+    def read_until(self, end_ns: int) -> None:
+        """Read and handle input until there is no more of it, or that time has come."""
+        try:
+            while self.open and not self.closing and not self.reading_paused:
+                if self._read(SLICE_READ_SIZE) < SLICE_READ_SIZE or self.loop.clock() >= end_ns:
+                    return
+        except Exception:
+            self._fail_handler()
 
-    def _read(self) -> None:
+    def _read(self, size: int) -> int:
+        """Read and handle at most ``size`` bytes; return how many there were."""
         try:
-            data = self.sock.recv(READ_SIZE)
+            data = self.sock.recv(size)
         except BlockingIOError:
-            return
+            return 0
         except OSError as error:
             self.fail(error)
-            return
+            return 0
         if data:
             self.handler.received(data)
         else:
             self.fail(None)
+        return len(data)
 
     def _flush(self) -> None:
         try:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -4,10 +4,13 @@
 
 import socket
 import sys
+from typing import Any
 
 import pytest
 
 from arrowrail.limits.memory import REQUEST_OVERHEAD_BYTES, MemoryBudget
+from arrowrail.scheduling import input_order
+from arrowrail.scheduling.input_order import HALVING_NS, SLICE_NS, TURN_NS, InputOrder
 from arrowrail.wire.sip import frontend as sip_frontend
 from arrowrail.wire.sip import messages as sip
 from tests.live import Caller, ListeningSocket, list_entry, receive_set_up, running_controller
@@ -77,3 +80,52 @@
         monkeypatch.setattr(sip_frontend, "PAUSED_TIMEOUT_NS", 100_000_000)
         run.wait_until(lambda: len(run.controller.frontend.callers) == 0)
         assert Caller(run.port).sock  # others are accepted
+
+
+def test_a_caller_with_single_requests_comes_before_one_that_sends_without_pause() -> None:
+    order: InputOrder[str] = InputOrder()
+    for at_ns in range(0, 5 * SLICE_NS, SLICE_NS):
+        order.record(at_ns, "greedy", SLICE_NS)
+    order.record(0, "single", SLICE_NS // 10)
+    assert order.sort(5 * SLICE_NS, ["greedy", "single", "new"]) == ["new", "single", "greedy"]
+    order.call_answered(5 * SLICE_NS, "single")
+    order.call_answered(5 * SLICE_NS, "greedy")  # a known caller that uses much has no precedence
+    assert order.sort(5 * SLICE_NS, ["greedy", "single", "new"]) == ["single", "new", "greedy"]
+    later_ns = 10 * HALVING_NS
+    assert order.sort(later_ns, ["new", "greedy"]) == ["greedy", "new"]  # its usage is forgotten
+
+
+def test_the_input_of_one_iteration_has_a_limit_of_time() -> None:
+    order: InputOrder[str] = InputOrder()
+    assert order.slice_end_ns(0, 0) == SLICE_NS
+    assert order.slice_end_ns(0, TURN_NS - 1) == TURN_NS
+    assert order.slice_end_ns(0, TURN_NS) == 0
+    order.record(0, "gone", 1)
+    order.remove("gone")
+    assert len(order) == 0
+
+
+def test_a_caller_is_answered_between_the_requests_of_one_that_sends_without_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Up to 16 KiB of a greedy caller's requests used to be handled before the next caller's."""
+    handled: list[str] = []
+    handle_message = sip_frontend.SipFrontend.handle_message
+
+    def record(frontend: Any, caller: Any, message: sip.SipMessage) -> None:
+        handled.append(message.call_id)
+        handle_message(frontend, caller, message)
+
+    monkeypatch.setattr(sip_frontend.SipFrontend, "handle_message", record)
+    monkeypatch.setattr(input_order, "SLICE_NS", 0)
+    with running_controller() as run:
+        greedy, single = Caller(run.port), Caller(run.port)
+        run.wait_until(lambda: len(run.controller.frontend.callers) == 2)
+
+        def send_all() -> None:  # while the loop stands still, so that all of it is unread
+            greedy.sock.sendall(sip.request("OPTIONS", "sip:ping@net", "peer", CALL_B, 1) * 120)
+            single.send("OPTIONS", CALL_A)
+
+        run.run_in_loop(send_all)
+        single.receive_response(CALL_A, "OPTIONS")
+        assert handled.index(CALL_A) < 60
