Pace the releases that are written to one caller's connection

Callers saw: a sound caller lost its connection, and its open set-ups, when many calls of others that had left were over at once.

Cause: all pending releases were written at once, and over 96 KiB queued count as a peer that doesn't read.

Change: they are written while at most 16 KiB wait there, the rest 20 ms later.

--- a/arrowrail/wire/sip/releases.py
+++ b/arrowrail/wire/sip/releases.py
@@ -25,6 +25,11 @@
 # A release written within this time before its connection closed may have crossed the close and be lost; one
 # whose connection stays open for longer is taken for delivered.
 DELIVERY_GRACE_NS = 2_000 * MS
+# Releases are written to a connection only while no more than this is queued for it: thousands of calls may
+# be over at once, and a caller must not be disconnected for not reading all of it at once.
+MAX_QUEUED_BYTES = 16 * 1024
+ROOM_WAIT_NS = 20 * MS  # until a connection without room is tried again
+MAX_TRUST_LEVEL = 2  # of a connection on which a call was answered
 
 
 @dataclass(slots=True)
@@ -56,7 +61,7 @@
         """Send a release, preferably on the connection of its call."""
         now = self.loop.now
         release = self.pending[call_id] = PendingRelease(call_id, message, now, now + RELEASE_LIFETIME_NS)
-        if caller is not None and caller.stream.open:
+        if caller is not None and _has_room(caller):
             self._write(release, caller)
         else:
             self.deliver()
@@ -69,7 +74,7 @@
         """Queue releases again that may be lost because the caller closed the connection meanwhile."""
         for release in self.pending.values():
             if release.connection_id == handle:
-                release.connection_id = release.delivered_ns = 0
+                release.connection_id = release.delivered_ns = release.trust_level = 0
 
     def expire(self, now: int) -> None:
         """Drop releases that found no connection in time, and those that had enough time to arrive."""
@@ -92,24 +97,42 @@
         Guards against sending releases to peers that only hold connections open: a connection on which a call
         was answered is used at once, one that only sent a request or is new after a delay.
         """
-        if not self.pending:
+        if all(release.trust_level == MAX_TRUST_LEVEL for release in self.pending.values()):
+            return
+        best = self._best_connection()
+        if best is None:
+            if any(caller.stream.open for caller in self.callers):
+                self._retry_after(ROOM_WAIT_NS)
             return
-        now = self.loop.now
-        open_connections = [caller for caller in self.callers if caller.stream.open]
-        best = max(open_connections, key=lambda caller: (caller.trust_level, caller.idle_since), default=None)
         waiting = False
         for release in self.pending.values():
-            if release.connection_id and (best is None or release.trust_level >= best.trust_level):
+            if release.connection_id and release.trust_level >= best.trust_level:
                 continue
-            if (
-                best is not None
-                and now - release.created_ns >= (2 - best.trust_level) * BETTER_CONNECTION_WAIT_NS
-            ):
+            if not _has_room(best):
+                self._retry_after(ROOM_WAIT_NS)
+                return
+            wait_ns = (MAX_TRUST_LEVEL - best.trust_level) * BETTER_CONNECTION_WAIT_NS
+            if self.loop.now - release.created_ns >= wait_ns:
                 self._write(release, best)
-            waiting = waiting or (best is not None and not release.connection_id)
-        if waiting and self._retry_at_ns <= now:
-            self._retry_at_ns = now + BETTER_CONNECTION_WAIT_NS
-            self.loop.timers.schedule(self._retry_at_ns, self.deliver)
+            waiting = waiting or not release.connection_id
+        if waiting:
+            self._retry_after(BETTER_CONNECTION_WAIT_NS)
+
+    def _best_connection(self) -> CallerConnection | None:
+        """Return a connection that has room and that no other is more trusted than: the one used last."""
+        open_connections = [caller for caller in self.callers if caller.stream.open]
+        level = max((caller.trust_level for caller in open_connections), default=0)
+        return max(
+            (caller for caller in open_connections if caller.trust_level == level and _has_room(caller)),
+            key=lambda caller: caller.idle_since,
+            default=None,
+        )
+
+    def _retry_after(self, wait_ns: int) -> None:
+        retry_at_ns = self.loop.now + wait_ns
+        if not self.loop.now < self._retry_at_ns <= retry_at_ns:
+            self._retry_at_ns = retry_at_ns
+            self.loop.timers.schedule(retry_at_ns, self.deliver)
 
     def _write(self, release: PendingRelease, caller: CallerConnection) -> None:
         release.connection_id, release.trust_level = caller.handle, caller.trust_level
@@ -118,3 +141,7 @@
         call_event("release.sent", release.call_id, "release written to connection {connection}",
                    connection=caller.serial)  # fmt: skip
         caller.stream.send(release.message)
+
+
+def _has_room(caller: CallerConnection) -> bool:
+    return caller.stream.open and caller.stream.queued_bytes <= MAX_QUEUED_BYTES
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -82,6 +82,27 @@
         assert Caller(run.port).sock  # others are accepted
 
 
+def test_a_burst_of_releases_does_not_disconnect_the_caller_that_gets_them() -> None:
+    """A caller used to lose its connection when many calls of others that had left were over at once."""
+    calls = [f"{number:016x}" for number in range(1, 2501)]
+    with running_controller() as run:
+        caller = Caller(run.port)
+        caller.send("OPTIONS", CALL_A)
+        assert caller.receive_response(CALL_A, "OPTIONS").status == 503  # no list yet
+
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+        def release_all() -> None:
+            (connection,) = run.controller.frontend.callers
+            connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            for call_id in calls:
+                run.controller.frontend.release_unknown(call_id, 16)
+
+        run.run_in_loop(release_all)
+        received = [caller.receive(lambda m: m.method == "BYE").call_id for _ in calls]
+        assert sorted(received) == calls
+
+
 def test_a_caller_with_single_requests_comes_before_one_that_sends_without_pause() -> None:
     order: InputOrder[str] = InputOrder()
     for at_ns in range(0, 5 * SLICE_NS, SLICE_NS):
