Send no set-up to a server while another one has its address

Cause: the list's word on the successor was used for standing calls only; the old entry stayed in service and its pool connected to the address again.

Change: find_superseded decides which entries have lost their address to one that started later; the registry keeps these draining until they end, or until the other entry goes first. Bus, etcd, sidecar and both protocols use it.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -33,7 +33,7 @@
 )
 from arrowrail.core.rules import violated_rule
 from arrowrail.deduplication.repeats import RepeatDecision, decide_repeat, may_refuse, proves_never_ran
-from arrowrail.failure_detection.address_reuse import find_predecessors
+from arrowrail.failure_detection.address_reuse import find_predecessors, find_superseded
 from arrowrail.limits.memory import MemoryBudget
 from arrowrail.shutdown.plan import ShutdownPlan
 from arrowrail.state.ended_calls import RETENTION_NS, EndedCall, EndedCalls
@@ -370,6 +370,8 @@
         changed = self.registry.apply(self.now, source, snapshot, usable)
         if not changed:
             return
+        superseded = find_superseded(self.registry.endpoints.values())
+        changed += [e for e in self.registry.supersede(self.now, superseded) if e not in changed]
         for endpoint in changed:
             self.metrics.count("server.listed", endpoint.entry.state)
             event("server.listed", "{source} lists {server} at {endpoint} as {state}", source=source,
--- a/arrowrail/failure_detection/address_reuse.py
+++ b/arrowrail/failure_detection/address_reuse.py
@@ -25,10 +25,27 @@
                 yield other, entry.started_ns
 
 
+def find_superseded(endpoints: Iterable[Endpoint]) -> set[int]:
+    """Return the ids of the endpoints whose address another listed one has that started later.
+
+    An address has one process at a time, so that a set-up for the earlier one would reach the later one.
+    """
+    latest_start: dict[tuple[str, str, int], int] = {}
+    listed = [endpoint for endpoint in endpoints if endpoint.listed.state != TERMINATED]
+    for endpoint in listed:
+        place = _place(endpoint.listed)
+        latest_start[place] = max(latest_start.get(place, 0), endpoint.listed.started_ns)
+    return {
+        endpoint.endpoint_id
+        for endpoint in listed
+        if endpoint.listed.started_ns < latest_start[_place(endpoint.listed)]
+    }
+
+
 def _is_same_place(first: EndpointEntry, second: EndpointEntry) -> bool:
     """Whether at most one process is there; a gateway may serve several point codes at its address."""
-    return (first.address, first.backend, first.point_code) == (
-        second.address,
-        second.backend,
-        second.point_code,
-    )
+    return _place(first) == _place(second)
+
+
+def _place(entry: EndpointEntry) -> tuple[str, str, int]:
+    return entry.address, entry.backend, entry.point_code
--- a/arrowrail/state/endpoints.py
+++ b/arrowrail/state/endpoints.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
 IN_SERVICE, TERMINATING, TERMINATED = "in_service", "terminating", "terminated"
@@ -31,7 +31,9 @@
 
     endpoint_id: int
     source: str
-    entry: EndpointEntry
+    entry: EndpointEntry  # as the source lists it, but draining while another server has its address
+    listed: EndpointEntry  # as the source lists it
+    superseded: bool = False  # another server has its address
     drain_notified_ns: int = 0  # when this controller learned that it drains or is gone; 0: in service
 
 
@@ -63,7 +65,7 @@
                 changed[endpoint.endpoint_id] = endpoint
         if snapshot:  # endpoints that are absent from their source's snapshot are terminated
             for endpoint in list(self.endpoints.values()):
-                old_entry = endpoint.entry
+                old_entry = endpoint.listed
                 if (
                     endpoint.source == source
                     and old_entry.uid not in listed_uids
@@ -80,20 +82,42 @@
             if entry.state == TERMINATED:
                 return None  # never listed: no call can have been sent there
             self._last_id += 1
-            endpoint = Endpoint(self._last_id, source, entry)
+            endpoint = Endpoint(self._last_id, source, entry, entry)
             self._ids_by_uid[entry.uid], self.endpoints[endpoint.endpoint_id] = endpoint.endpoint_id, endpoint
         else:
             endpoint = self.endpoints[endpoint_id]
             if entry.state == TERMINATED:  # a deletion may carry nothing but the uid
-                entry = replace(endpoint.entry, state=TERMINATED)
-            if endpoint.entry == entry:
+                entry = replace(endpoint.listed, state=TERMINATED)
+            if endpoint.listed == entry:
                 return None
-            endpoint.entry = entry
-        if entry.state == IN_SERVICE:
+            endpoint.listed = entry
+        self._derive_entry(now, endpoint)
+        return endpoint
+
+    def supersede(self, now: int, endpoint_ids: Collection[int]) -> list[Endpoint]:
+        """Set which endpoints have lost their address to another server; return those that changed.
+
+        They drain from now on, and are in service again if the other server's entry goes first.
+        """
+        changed = []
+        for endpoint in self.endpoints.values():
+            superseded = endpoint.endpoint_id in endpoint_ids
+            if endpoint.superseded != superseded:
+                endpoint.superseded = superseded
+                before = endpoint.entry
+                self._derive_entry(now, endpoint)
+                if endpoint.entry != before:
+                    changed.append(endpoint)
+        return changed
+
+    @staticmethod
+    def _derive_entry(now: int, endpoint: Endpoint) -> None:
+        drains = endpoint.superseded and endpoint.listed.state == IN_SERVICE
+        endpoint.entry = replace(endpoint.listed, state=TERMINATING) if drains else endpoint.listed
+        if endpoint.entry.state == IN_SERVICE:
             endpoint.drain_notified_ns = 0
         elif endpoint.drain_notified_ns == 0:
             endpoint.drain_notified_ns = now
-        return endpoint
 
     def _drop_terminated(self) -> None:
         terminated = [endpoint for endpoint in self.endpoints.values() if endpoint.entry.state == TERMINATED]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -287,6 +288,29 @@
     assert [entry[0] for entry in fixture.signalling.recorded].count("address_taken") == 1
 
 
+def test_a_server_gets_no_set_up_while_another_one_has_its_address() -> None:
+    """A set-up for it would reach the other one: calls in transit went to the wrong exchange (review/7)."""
+    fixture = CoreFixture()
+    successor = EndpointEntry("d9", "a:1", "z", 9, "in_service", 400 * MS)
+
+    def states() -> list[tuple[int, str]]:
+        changes = [entry[1:] for entry in fixture.signalling.recorded if entry[0] == "endpoint_changed"]
+        fixture.signalling.recorded.clear()
+        return changes
+
+    fixture.core.timers.now = 1_000 * MS
+    fixture.core.update_endpoints("bus", False, [successor])
+    assert states() == [(7, "in_service"), (1, "terminating")]
+    assert fixture.run(send_set_up(1), at_ms=1_501) == [] and fixture.core.internal_errors == 1
+    fixture.core.update_endpoints("bus", True, [*fixture.entries, successor])
+    assert states() == []  # listed once more as in service: nothing has changed
+    fixture.core.update_endpoints("bus", False, [replace(successor, state="terminated")])
+    assert states() == [(7, "terminated"), (1, "in_service")]  # the other one is gone first
+    fixture.core.update_endpoints("bus", False, [successor])
+    fixture.core.update_endpoints("bus", False, [replace(fixture.entries[0], state="terminated")])
+    assert (1, "terminated") in states()
+
+
 def test_list_entries_of_an_unknown_backend_are_ignored() -> None:
     fixture = CoreFixture()
     fixture.core.update_endpoints("bus", False, [EndpointEntry("x", "a:1", "z", 9, "in_service", 0, "m3ua")])
--- a/tests/test_process_identity.py
+++ b/tests/test_process_identity.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from arrowrail.failure_detection.address_reuse import find_predecessors
+from arrowrail.failure_detection.address_reuse import find_predecessors, find_superseded
 from arrowrail.failure_detection.call_loss import ADDRESS_TAKEN, MS, RESTARTED, SILENCE_LIMIT_NS, CallLoss
 from arrowrail.failure_detection.endpoint import EndpointMonitor
 from arrowrail.failure_detection.identity import Opening
@@ -133,11 +133,12 @@
 
 def endpoint(number: int, address: str, started_ms: int, state: str = "in_service") -> Endpoint:
     entry = EndpointEntry(f"d{number}", address, "z", number, state, started_ms * MS)
-    return Endpoint(number, "bus", entry)
+    return Endpoint(number, "bus", entry, entry)
 
 
 def replace_entry(endpoint: Endpoint, **changes: Any) -> Endpoint:
-    return replace(endpoint, entry=replace(endpoint.entry, **changes))
+    entry = replace(endpoint.entry, **changes)
+    return replace(endpoint, entry=entry, listed=entry)
 
 
 @pytest.mark.parametrize(
@@ -160,3 +161,5 @@
     listed = [endpoint(1, "a:1", 0), endpoint(2, "a:2", 400), endpoint(3, "a:3", 0, TERMINATED), new]
     found = list(find_predecessors([new], listed))
     assert found == [(listed[n - 1], new.entry.started_ns) for n in predecessors]
+    superseded_by_new = find_superseded(listed) - {new.endpoint_id}
+    assert superseded_by_new == set(predecessors)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -188,7 +188,7 @@
     admission = SidecarAdmission(load_config(tmp_path), T0)
     admission.route_table.update_states([(n, IN_SERVICE) for n in (1, 2, 3, 4)])
     entry = EndpointEntry("f-1@127.0.0.1:6101", "127.0.0.1:6101", "z", 1, IN_SERVICE, 0)
-    admission.attempt_ended(T0, Endpoint(1, "site", entry), "served", 0)
+    admission.attempt_ended(T0, Endpoint(1, "site", entry, entry), "served", 0)
     assert admission.set_probe_failures(T0 + S, [1]) == []
     updates = admission.set_probe_failures(T0 + 6 * S, [1])
     assert {u.exchanges for u in updates} == {(2,)} and len(updates) == 2
