Tell a busy successor from the process of before by the last report

Cause: one circuit of others' calls was half of what two calls occupy, so that the successor's report was taken to cover them, though the report 1 s before had fourteen in use.

Change: the first report on a new connection also contradicts if it has under a quarter of the circuits of the last one, if that is recent and had eight. What refutes a contradiction is unchanged.

--- a/arrowrail/failure_detection/identity.py
+++ b/arrowrail/failure_detection/identity.py
@@ -6,7 +6,9 @@
 
 - Contradiction: a report of the trunk group with far fewer circuits in use than the calls occupy that were
   answered before its connection was opened.  A process that has just started holds none of them.  Releases on
-  their way explain some missing circuits, but not most of them.
+  their way explain some missing circuits, but not most of them.  Where others use the group, too, a successor
+  soon has as many in use: so the first report on a new connection also contradicts if it has far fewer than
+  the report that came just before the server fell silent.
 - Refutation: later data on a connection that is older than the contradicting one, or the release of an older
   call.  An address has one process at a time, so that both connections lead to the same one.
 - Replacement: the exchange list has another server at the address, with a later start.
@@ -27,6 +29,13 @@
 CONTRADICTION_TIMEOUT_NS = 2_000 * MS
 # A report contradicts if less than this share of the circuits of the calls is in use.
 MIN_SHARE_IN_USE = 0.5
+# Or less than this share of the circuits of the last report before, if that had at least so many in use.
+MIN_SHARE_OF_LAST_REPORT = 0.25
+MIN_CIRCUITS_OF_LAST_REPORT = 8
+# That report is about the time of the opening: it was received at most so long before the last contact, and
+# the connection was opened at most so long after it.  In that time calls in progress end one by one.
+MAX_REPORT_AGE_NS = 1_000 * MS
+MAX_REPORT_GAP_NS = 3_000 * MS
 MAX_CONTRADICTIONS = 8  # each one stands for another replacement that is not decided yet
 
 
@@ -38,6 +47,26 @@
     heard_before_ns: int  # last contact with the endpoint before that
 
 
+@dataclass(frozen=True, slots=True)
+class GroupReport:
+    """A report of the trunk group."""
+
+    received_ns: int
+    in_use: float  # circuits
+
+    def contradicted_by(self, opening: Opening, in_use: float) -> bool:
+        """Whether the process that sent it can't be the one that reports ``in_use`` on a new connection."""
+        is_current = (
+            self.received_ns < opening.opened_ns <= self.received_ns + MAX_REPORT_GAP_NS
+            and opening.heard_before_ns <= self.received_ns + MAX_REPORT_AGE_NS
+        )
+        return (
+            is_current
+            and self.in_use >= MIN_CIRCUITS_OF_LAST_REPORT
+            and in_use < MIN_SHARE_OF_LAST_REPORT * self.in_use
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Contradiction:
     """A report by which a connection leads to another process than the one that answered earlier calls."""
@@ -56,11 +85,12 @@
 class ProcessIdentity:
     """Tracks the evidence on one endpoint's process."""
 
-    __slots__ = ("_confirmed_ns", "_contradictions", "_known_start_ns", "_replaced_ns")
+    __slots__ = ("_confirmed_ns", "_contradictions", "_known_start_ns", "_last_report", "_replaced_ns")
 
     def __init__(self, now: int) -> None:
         self._confirmed_ns = now  # the process that holds the calls was heard last
         self._contradictions: list[Contradiction] = []  # in the order of their connections' openings
+        self._last_report: GroupReport | None = None
         self._replaced_ns = 0  # start of the server that has taken the address; 0: none
         self._known_start_ns = now  # starts of other servers up to this time need no reaction any more
 
@@ -99,7 +129,9 @@
         ``held``: circuits of the established calls that were answered from ``contradicted_ns`` on and before
         the opening of the connection.
         """
-        if in_use >= MIN_SHARE_IN_USE * held:
+        last_report, self._last_report = self._last_report, GroupReport(now, in_use)
+        dropped = held > 0 and last_report is not None and last_report.contradicted_by(opening, in_use)
+        if in_use >= MIN_SHARE_IN_USE * held and not dropped:
             return False
         if len(self._contradictions) < MAX_CONTRADICTIONS:
             self._contradictions.append(Contradiction(opening, now))
--- a/tests/test_process_identity.py
+++ b/tests/test_process_identity.py
@@ -57,6 +57,27 @@
     assert loss_at(monitor, 60_000) is None
 
 
+@pytest.mark.parametrize(
+    ("reported_ms", "after_ms", "last", "in_use", "contradicts"),
+    [
+        (-100, 1000, 18, 4, True),  # four of others' calls are as many circuits as our calls occupy
+        (-100, 1000, 18, 5, False),
+        (-100, 1000, 7, 4, False),  # of so few many may end at once
+        (-1100, 1000, 18, 4, False),  # a report of long before the last contact
+        (-100, 3000, 18, 4, False),  # time enough for calls to end
+    ],
+)
+def test_a_report_far_below_the_last_one_contradicts_even_if_it_covers_our_calls(
+    reported_ms: int, after_ms: int, last: int, in_use: int, contradicts: bool
+) -> None:
+    """A successor that others have called already was taken for the process of before (review/6)."""
+    monitor = heard()
+    monitor.circuits_reported(START + reported_ms * MS, Opening(OPENED, OPENED), last, CIRCUITS)
+    assert greet(monitor, after_ms, in_use) == contradicts
+    expected = CallLoss(RESTARTED, START + after_ms * MS) if contradicts else None
+    assert loss_at(monitor, 60_000) == expected
+
+
 def test_a_contradiction_is_refuted_by_an_old_connection_or_by_the_release_of_an_old_call() -> None:
     for by_connection in (True, False):
         monitor = heard()
--- a/tests/test_process_identity_model.py
+++ b/tests/test_process_identity_model.py
@@ -22,6 +22,8 @@
 # An outage that calls outlive, and the time from one trouble to the next, in which the server is heard.
 MAX_OUTAGE_MS = 5_000
 MIN_QUIET_MS = 3_000
+OTHERS_PER_10_S = 17  # calls of others that a new process gets
+REPORT_INTERVAL_MS = 300  # of a group that others use, too
 REPLACEMENT_INTERVAL_MS = 1_500  # a second one may come before the first is known
 
 
@@ -49,8 +51,9 @@
 class World:
     """The address, the processes that had it one after the other, and the controller's pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, others: int = 0) -> None:
         self.now = START_MS * MS
+        self.usual_others, self.reported_ns = others, 0  # circuits of others' calls at the first process
         self.monitor, self.established = EndpointMonitor(self.now), EstablishedCalls()
         self.process, self.listening_ns = 1, 0
         self.outage_until_ns, self.hang_until_ns = 0, 0
@@ -85,7 +88,15 @@
             self._release_received(message)
 
     def _in_use(self) -> int:
-        return sum(1 for call in self.calls.values() if call.process == self.process and not call.ended_ns)
+        own = sum(1 for call in self.calls.values() if call.process == self.process and not call.ended_ns)
+        return own + self._others()
+
+    def _others(self) -> int:
+        """Circuits of others' calls; a process that has just started has none and gets them one by one."""
+        if self.process == 1:
+            return self.usual_others
+        since_start_ns = max(0, self.now - self.listening_ns)
+        return min(self.usual_others, since_start_ns * OTHERS_PER_10_S // (10_000 * MS))
 
     def _release_received(self, call_id: str) -> None:
         answered_ns = self.established.answered_ns(ENDPOINT, call_id)
@@ -153,6 +164,9 @@
 
     def step(self) -> None:
         self.now += STEP_MS * MS
+        if self.usual_others and self.now - self.reported_ns >= REPORT_INTERVAL_MS * MS:
+            self.reported_ns = self.now
+            self._report("state")
         self._flush()
         self._open_pool()
         self._update_checks()
@@ -256,3 +270,33 @@
         world.run(MIN_QUIET_MS + quiet_ms)
     world.run(SETTLE_MS)
     world.check_released()
+
+
+BUSY_TROUBLES = st.one_of(
+    st.tuples(st.just("reset"), st.just(0)),
+    st.tuples(st.just("outage"), OUTAGES_MS),
+    st.tuples(st.just("hang"), OUTAGES_MS),
+    st.tuples(st.just("vanish"), st.integers(0, 500)),
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.integers(12, 40), TRAFFIC, BUSY_TROUBLES, st.integers(0, 70), WAITS_MS)
+def test_calls_at_a_group_that_others_use_are_kept_and_released_in_time(
+    others: int, traffic: list[tuple[str, int]], trouble: tuple[str, int], fall: int, quiet_ms: int
+) -> None:
+    """A successor that others call soon has as many circuits in use as our calls occupy (review/6)."""
+    world = World(others)
+    for event, wait_ms in traffic:
+        if event == "call":
+            world.place_call()
+        else:
+            world.end_call()
+        world.run(wait_ms)
+    world.run(2 * REPORT_INTERVAL_MS)
+    kind, duration_ms = trouble
+    if kind in ("outage", "hang"):
+        world.usual_others -= others * fall // 100  # calls of others that end meanwhile
+    cause_trouble(world, kind, duration_ms)
+    world.run(MIN_QUIET_MS + quiet_ms + SETTLE_MS)
+    world.check_released()
