--- a/arrowrail/lab/platform.py
+++ b/arrowrail/lab/platform.py
@@ -26,6 +26,7 @@
     aim_ms: int = 1000
     hold_ms: int = 4000
     worth: float = 1.0
+    repeat: str = "free"  # or "single_shot": an order that must not run twice
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +74,7 @@
         return {
             "classes": [
                 {"name": c.name, "worth": c.worth, "late-share": 0.25, "objective-ns": c.aim_ms * MS,
-                 "deadline-ns": c.deadline_ms * MS, "repeat": "free", "dedup-scope": "all",
+                 "deadline-ns": c.deadline_ms * MS, "repeat": c.repeat, "dedup-scope": "all",
                  "window-ns": 0, "streamed": True}
                 for c in self.classes
             ],
--- a/arrowrail/lab/soak/callers.py
+++ b/arrowrail/lab/soak/callers.py
@@ -10,6 +10,8 @@
   A s and no requests after B s, until it is ready again.
 - ``{"do": "killed"}``: the controller has ended; close all connections and probe for its restart.
 - ``{"do": "crowd", "calls": N}``: place N calls at once.
+- ``{"do": "early_close", "calls": N}``: write N large set-ups on one connection and close it at once.
+- ``{"do": "resend", "calls": N}``: reset N connections 20 ms after their set-up, and send it again.
 - ``{"do": "rude", "how": NAME}``: connect as a misbehaving client of that kind.
 - ``{"do": "stop"}``: place no more calls.
 
@@ -19,8 +21,11 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import errno
 import random
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -37,10 +42,13 @@
 PROBE_TIMEOUT_NS = 500 * MS
 # PROTOCOL: a set-up that crosses the close of its connection is sent again once, on a new connection.
 CROSSING_NS = 50 * MS
+RESET_DELAY_NS = 20 * MS  # from a set-up to the reset that it crosses
+EARLY_CLOSE_BODY_SIZE = 12_000
 IDLE_TIMEOUT_NS = 4_000 * MS  # PROTOCOL: callers close a connection that carries no call for this long
 BAD_CLIENT_TIMEOUT_NS = 3_500 * MS  # STANDING: 3 s for an answer or a close; 0.5 s to observe it
 LONG_CONNECTIONS = 3
 EARLY_CANCEL_SHARE = 0.4  # of the patience, after which some callers cancel
+LINGER_RESET = struct.pack("ii", 1, 0)
 BAD_INPUTS = {
     "noise": b"\x00\x01\x02garbage\r\n\r\n" * 4,
     "half": b"INVITE sip:1@net SIP/2.0\r\nCall-ID: 0123",
@@ -127,6 +135,12 @@
         self.stream, self.usable = None, False
         self.callers.connection_lost(self, reason)
 
+    def reset(self) -> None:
+        """End the connection with a TCP reset, as a path that fails does to both sides."""
+        if self.stream is not None and self.pending:
+            self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            self.stream.fail(OSError(errno.ECONNRESET, "reset"))
+
     def close(self) -> None:
         stream, self.stream, self.usable = self.stream, None, False
         if stream is not None:
@@ -194,6 +208,11 @@
         elif command["do"] == "crowd":
             for _ in range(command["calls"]):
                 self.place_call()
+        elif command["do"] == "early_close":
+            EarlyClosingClient(self, command["calls"])
+        elif command["do"] == "resend":
+            for _ in range(command["calls"]):
+                self.place_call(resend=True)
         elif command["do"] == "rude":
             BadClient(self, command["how"])
         elif command["do"] == "stop":
@@ -249,13 +268,16 @@
 
     # --- Calls ----------------------------------------------------------------------------------------------
 
-    def place_call(self, retry: bool = False) -> None:
-        """Place one call, on a connection of its own or on a long-lived one."""
+    def place_call(self, retry: bool = False, resend: bool = False) -> None:
+        """Place one call, on a connection of its own or on a long-lived one.
+
+        ``resend``: its connection is reset soon after, so that the set-up crosses its end.
+        """
         call_class = self.random.choices(self.classes, [c.weight for c in self.classes])[0]
         exchange = self.random.choice(self.exchanges)
         call_id = f"{self.random.getrandbits(64):016x}"
         number = f"{self.random.randrange(1 << 40):016x}"
-        short = self.random.random() < self.behaviour.short_share
+        short = self.random.random() < self.behaviour.short_share or resend
         early = self.random.random() < self.behaviour.early_share
         if not self.may_send:
             return
@@ -278,6 +300,8 @@
             exchange=exchange,
         )
         connection.place(call_id, (head + body).encode())
+        if resend:
+            self.loop.timers.schedule(self.loop.now + RESET_DELAY_NS, connection.reset)
         if early:
             wait_ns = int(call_class.patience_ms * EARLY_CANCEL_SHARE) * MS
             self.loop.timers.schedule(self.loop.now + wait_ns, lambda: self._cancel(call_id))
@@ -349,6 +373,41 @@
         self.loop.timers.schedule(self.loop.now + SECOND_NS, self.sweep)
 
 
+class EarlyClosingClient:
+    """Writes large set-ups and closes its connection as soon as the kernel has taken them."""
+
+    def __init__(self, callers: Callers, count: int) -> None:
+        self.callers = callers
+        self.calls = [f"{callers.random.getrandbits(64):016x}" for _ in range(count)]
+        with contextlib.suppress(OSError):
+            self.stream = connect(callers.loop, self, callers.address)
+
+    def connected(self) -> None:
+        body = b"x" * EARLY_CLOSE_BODY_SIZE
+        for call_id in self.calls:
+            head = (
+                f"INVITE sip:ab@net SIP/2.0\r\nCall-ID: {call_id}\r\nCSeq: 1 INVITE\r\n"
+                f"Subject: {self.callers.classes[0].name}\r\nX-Patience: 1000\r\n"
+                f"X-Facts: dest:{self.callers.exchanges[0]};width:1;via:-1\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            )
+            self.stream.send(head.encode() + body)
+        self._close_once_written()
+
+    def _close_once_written(self) -> None:
+        if self.stream.open and not self.stream.flushed:
+            self.callers.loop.timers.schedule(self.callers.loop.now + MS, self._close_once_written)
+            return
+        self.stream.close()
+        self.callers.event_log.record("left", calls=self.calls)
+
+    def received(self, data: bytes) -> None:
+        pass
+
+    def lost(self, _error: OSError | None) -> None:
+        pass
+
+
 class BadClient:
     """A client that sends no valid call; the controller must answer it or close its connection."""
 
--- a/arrowrail/lab/soak/checks.py
+++ b/arrowrail/lab/soak/checks.py
@@ -13,6 +13,7 @@
 
 from arrowrail.lab.platform import Deployment
 from arrowrail.lab.soak.history import MS, SECOND_NS, Attempt, Call, History, ListChange
+from arrowrail.lab.soak.plan import SINGLE_SHOT
 
 TOLERANCE_NS = 50 * MS  # PROTOCOL: each time limit has a tolerance of 50 ms
 MAX_ANSWER_DELAY_NS = 500 * MS  # STANDING: an answer up to 0.5 s after the deadline is allowed, but worthless
@@ -32,6 +33,9 @@
 UNDISTURBED_NS = 2_000 * MS
 MAX_ATTEMPTS = 4  # as in the platform's settings
 RELEASE_AWAITED_OUTCOMES = ("given_up", "broken")
+REFUSALS = (480, 503)  # PROTOCOL: trying again is harmless
+NEVER_RAN_CAUSES = (34, 102)  # PROTOCOL: full, or it never left
+CROSSING_NS = 50 * MS  # PROTOCOL: within it a set-up and the close of its connection cross
 CAUSE_TEMPORARY_FAILURE = 41  # Q.850: of a set-up that was lost on its way, and of a call that was cut off
 
 
@@ -126,6 +130,39 @@
     )
 
 
+def check_single_runs(history: History) -> Iterator[Violation]:
+    """Check that a call of a class that must not run twice is neither sent again nor refused, unless each of
+    its attempts has proved that it never ran."""
+    single_run = {c.name for c in history.plan.classes if c.repeat == SINGLE_SHOT}
+    for call in history.calls.values():
+        if call.class_name not in single_run:
+            continue
+        for attempt, following in pairwise(call.attempts):
+            if not _proves_never_ran(attempt):
+                message = f"sent again after an attempt at {attempt.server} that may have run"
+                yield Violation("repeat", following.sent_ns, message, call.call_id)
+        for answer in call.answers:
+            before = [attempt for attempt in call.attempts if attempt.sent_ns < answer["t"]]
+            if answer["status"] in REFUSALS and not all(map(_proves_never_ran, before)):
+                yield Violation("repeat", answer["t"], "refused though it may have run", call.call_id)
+
+
+def _proves_never_ran(attempt: Attempt) -> bool:
+    return attempt.outcome == "release" and attempt.cause in NEVER_RAN_CAUSES
+
+
+def check_callers_that_left(history: History) -> Iterator[Violation]:
+    """Check that no set-up of a client is sent on much later than its client has left."""
+    for server, set_ups in history.set_ups.items():
+        for sent_ns, call_id in set_ups:
+            left_ns = history.left_ns.get(call_id, 0)
+            if left_ns and sent_ns - left_ns > CROSSING_NS + TOLERANCE_NS:
+                delay_ms = (sent_ns - left_ns) // MS
+                yield Violation(
+                    "left", sent_ns, f"sent to {server} {delay_ms} ms after its client left", call_id
+                )
+
+
 def effective_ns(history: History, change: ListChange) -> int:
     """Return when a list change counts as known to its controller: on receipt, at the latest at the limit."""
     limit = _discovery_reachable_ns(history, change) + LIST_UPDATE_LIMIT_NS
@@ -372,7 +409,8 @@
 
 
 CHECKS: tuple[Check, ...] = (
-    check_answers, check_messages, check_attempts, check_drain, check_slow_start, check_releases,
+    check_answers, check_messages, check_attempts, check_single_runs, check_callers_that_left,
+    check_drain, check_slow_start, check_releases,
     check_established_calls, check_held_calls, check_controllers, check_bad_clients, check_served_share,
 )  # fmt: skip
 
--- a/arrowrail/lab/soak/history.py
+++ b/arrowrail/lab/soak/history.py
@@ -125,6 +125,7 @@
     bad_clients: list[Event] = field(default_factory=list)
     bad_clients_served: list[Event] = field(default_factory=list)
     unknown_answers: list[Event] = field(default_factory=list)
+    left_ns: dict[str, int] = field(default_factory=dict)  # when the clients of early closes left, by call id
     held_at_end: dict[str, str] = field(default_factory=dict)  # call id to the running server that holds it
     max_stand_in_delay_ms: int = 0  # the longest delay of the event loop of a stand-in program
 
@@ -239,6 +240,8 @@
                 calls[call_id].lost_ns, calls[call_id].lost_reason = event["t"], event["why"]
             for call_id in event["crossed"]:
                 calls[call_id].crossed_close = True
+        case "left":
+            history.left_ns |= dict.fromkeys(event["calls"], event["t"])
         case "ready":
             for restart in history.restarts[controller]:
                 if not restart.ready_ns and restart.killed_ns < event["t"]:
--- a/arrowrail/lab/soak/plan.py
+++ b/arrowrail/lab/soak/plan.py
@@ -30,6 +30,12 @@
 DISCOVERY_FAULTS = ("discovery_refuse", "discovery_hang", "discovery_vanish", "discovery_reset", "reload")
 CONTROLLER_FAULTS = ("restart", "kill")
 CALLER_FAULTS = ("crowd", "rude")
+# Clients that overload the controller, leave with much unread, or send a set-up again.  They are drawn by a
+# generator of their own and get the last numbers, so that the other faults of a seed stay as they are.
+CLIENT_FAULTS = ("many_fields", "greedy", "early_close", "resend")
+CLIENT_FAULT_SHARE = 0.5  # of the seeds that have any
+MAX_CLIENT_FAULT_S = 3.0
+SINGLE_SHOT = "single_shot"
 KIND_WEIGHTS = {
     "vanish_for_good": 2, "replace": 2, "replace_at_once": 3, "drain": 2, "die": 2, "restart": 3, "reset": 2,
 }  # fmt: skip
@@ -131,7 +137,32 @@
         rng.uniform(0.1, 0.6), rng.uniform(0, 0.1), rng.uniform(0.1, 0.4),
         rng.uniform(0, 0.4), (),
     )  # fmt: skip
-    return replace(plan, faults=_draw_faults(rng, plan))
+    return _add_client_faults(replace(plan, faults=_draw_faults(rng, plan)))
+
+
+def _add_client_faults(plan: Plan) -> Plan:
+    """Add one or two faults of hostile clients; where set-ups are sent again, a class must not run twice."""
+    rng = random.Random(f"clients of {plan.seed}")
+    if rng.random() >= CLIENT_FAULT_SHARE:
+        return plan
+    number = max((fault.number for fault in plan.faults), default=0)
+    faults = list(plan.faults)
+    for kind in rng.sample(CLIENT_FAULTS, rng.randint(1, 2)):
+        number += 1
+        at_s = round(rng.uniform(FIRST_FAULT_S, plan.seconds - 2.0), 3)
+        duration = round(rng.uniform(1.0, MAX_CLIENT_FAULT_S), 3)
+        target = rng.choice(controller_names(plan.controllers))
+        faults.append(Fault(number, kind, target, at_s, duration, _client_fault_detail(rng, kind)))
+    classes = plan.classes
+    if any(fault.kind == "resend" for fault in faults):
+        classes = (*classes[:-1], replace(classes[-1], repeat=SINGLE_SHOT))
+    return replace(plan, classes=classes, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
+
+
+def _client_fault_detail(rng: random.Random, kind: str) -> str:
+    if kind == "greedy":
+        return rng.choice(("options", "unsound", "classes"))
+    return "" if kind == "many_fields" else str(rng.choice((5, 20)))
 
 
 def _draw_faults(rng: random.Random, plan: Plan) -> tuple[Fault, ...]:
--- a/arrowrail/lab/soak/runner.py
+++ b/arrowrail/lab/soak/runner.py
@@ -36,6 +36,7 @@
 SILENCE_DETECTION_S = 4.0  # the shortest time in which discovery notices a silent server
 IN_SERVICE, TERMINATING, TERMINATED = "in_service", "terminating", "terminated"
 CONTROLLER_MODULE = ("arrowrail",)
+RESERVED_FOR_CALLERS = 20  # of the third of the descriptors that callers may hold together
 
 
 @dataclass(slots=True)
@@ -242,6 +243,8 @@
             "discovery_hang": self._discovery_fault, "discovery_vanish": self._discovery_fault,
             "discovery_reset": self._discovery_fault, "reload": self._reload, "restart": self._restart,
             "kill": self._kill, "crowd": self._caller_fault, "rude": self._caller_fault,
+            "early_close": self._caller_fault, "resend": self._caller_fault,
+            "many_fields": self._hostile_clients, "greedy": self._hostile_clients,
         }  # fmt: skip
         handlers.get(fault.kind, self._server_fault)(fault)
 
@@ -409,10 +412,21 @@
         self.processes.send_line(f"{controller}.callers", orjson.dumps(command))
 
     def _caller_fault(self, fault: Fault) -> None:
-        if fault.kind == "crowd":
-            self._command_callers(fault.target, do="crowd", calls=int(fault.detail))
-        else:
+        if fault.kind == "rude":
             self._command_callers(fault.target, do="rude", how=fault.detail)
+        else:
+            self._command_callers(fault.target, do=fault.kind, calls=int(fault.detail))
+
+    def _hostile_clients(self, fault: Fault) -> None:
+        """Start clients that send at full speed; they take at most a third of the descriptors."""
+        many = fault.kind == "many_fields"
+        self.processes.start(
+            f"clients-{fault.number}", "arrowrail.lab.hostile_clients",
+            "--to", f"{LOOPBACK}:{self._find(fault.target).port}",
+            "--kind", "fields" if many else fault.detail, "--seed", str(self.plan.seed),
+            "--connections", str(self.plan.sockets // 3 - RESERVED_FOR_CALLERS if many else 1),
+            "--seconds", str(fault.seconds),
+        )  # fmt: skip
 
     def _restart(self, fault: Fault) -> None:
         controller = self._find(fault.target)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,7 +52,9 @@
 
 def faultless_plan() -> Plan:
     plan = replace(generate_plan(1), controllers=1, servers=2, faults=(), sockets=256, circuits=20)
-    return replace(plan, classes=tuple(replace(c, hold_ms=4000) for c in plan.classes))
+    classes = [replace(call_class, hold_ms=4000) for call_class in plan.classes]
+    classes[-1] = replace(classes[-1], repeat="single_shot")
+    return replace(plan, classes=tuple(classes))
 
 
 def valid_events() -> TrialEvents:
@@ -83,6 +85,21 @@
     )
 
 
+def add_order(events: TrialEvents, status: int, attempts: int = 1) -> TrialEvents:
+    """Add a call that must not run twice: given up at its server, and answered with a failure."""
+    call = "00000000000000f2"
+    events.record(
+        "n0.callers", 2000, "placed", call=call, kind="alarm-video", patience_ms=2000, exchange=1
+    ).record("n0.callers", 2000, "sent", call=call, line=1, resent=False)
+    for number in range(attempts):
+        at_ms = 2001 + 400 * number
+        events.record("proxy", at_ms, "set_up", way="out", route="n0.s1", connection=1, call=call, cause=0)
+        events.record(
+            "proxy", at_ms + 20, "release", way="out", route="n0.s1", connection=1, call=call, cause=16
+        )
+    return events.record("n0.callers", 3000, "answer", call=call, status=status, line=1, made_by="")
+
+
 def add_list_change(events: TrialEvents, state: str, at_ms: int) -> TrialEvents:
     return events.record("player", at_ms, "listed", controller="n0", server="s1", state=state, offset=2)
 
@@ -198,6 +215,14 @@
             .record("n0.callers", 2500, "ready")
         ),
     ),
+    "an order that may have run is refused as harmless": ("repeat", lambda events: add_order(events, 503)),
+    "an order that may have run is sent again": ("repeat", lambda events: add_order(events, 500, 2)),
+    "set-up of a client that has left": (
+        "left",
+        lambda events: events.record("n0.callers", 2000, "left", calls=["00000000000000f3"]).record(
+            "proxy", 2101, "set_up", way="out", route="n0.s1", connection=1, call="00000000000000f3", cause=0
+        ),
+    ),
     "not ready after a restart": (
         "ready",
         lambda events: events.record("player", 20_000, "controller_killed", controller="n0", ended=False),
@@ -280,7 +305,11 @@
     assert plan == generate_plan(5) and plan != generate_plan(6)
     numbers = {fault.number for fault in plan.faults}
     assert {f.number for f in plan.without({min(numbers)}).faults} == numbers - {min(numbers)}
-    assert len({fault.kind for seed in range(200) for fault in generate_plan(seed).faults}) == 24
+    assert len({fault.kind for seed in range(200) for fault in generate_plan(seed).faults}) == 28
+
+
+def test_an_order_that_has_failed_violates_no_rule(tmp_path: Path) -> None:
+    assert add_order(valid_events(), 500).violated_rules(tmp_path, faultless_plan()) == []
 
 
 def test_a_trace_merges_the_logs_of_all_programs(tmp_path: Path) -> None:
