Wait longer for the bus's response with each try that brings none

Cause: the timeout of a silent stream, 2.5 s, was used for the wait for the response on every try. It now doubles with each try, up to 7 s.

--- a/arrowrail/wire/bus/client.py
+++ b/arrowrail/wire/bus/client.py
@@ -20,6 +20,10 @@
 MIN_BACKOFF_NS, MAX_BACKOFF_NS = 50 * MS, 250 * MS
 SILENCE_TIMEOUT_NS = 2_500 * MS  # the bus sends a comment each second: two missed ones mean a dead stream
 CONNECT_TIMEOUT_NS = 1_000 * MS
+# The wait for a response begins with the silence timeout and doubles with each try without one: a bus that
+# takes its time, or that many readers wait for, would otherwise never be read.
+MAX_DOUBLINGS = 8
+MAX_RESPONSE_TIMEOUT_NS = 7_000 * MS  # PROTOCOL: from then on, what the bus has to tell counts as told
 SOURCE = "bus"
 
 
@@ -35,6 +39,7 @@
         self.silence_timer: Timer | None = None
         self.reconnect_timer: Timer | None = None
         self.gap_retried_after = -1  # the offset before the gap that has been requested again
+        self._tries_without_response = 0
         self._streaming = False  # whether the last log event says that the stream is being read
 
     def start(self, known: list[BusEvent], offset: int) -> None:
@@ -50,6 +55,7 @@
         if address == self.address:
             return
         self.address, self.backoff_ns = address, MIN_BACKOFF_NS
+        self._tries_without_response = 0
         for timer in (self.silence_timer, self.reconnect_timer):
             if timer is not None:
                 timer.cancel()
@@ -71,9 +77,12 @@
         self._restart_silence_timer(CONNECT_TIMEOUT_NS)
 
     def connected(self) -> None:
-        self._restart_silence_timer()
+        timeout_ns = min(SILENCE_TIMEOUT_NS << self._tries_without_response, MAX_RESPONSE_TIMEOUT_NS)
+        self._restart_silence_timer(timeout_ns)
+        self._tries_without_response = min(self._tries_without_response + 1, MAX_DOUBLINGS)
 
     def received(self, data: bytes) -> None:
+        self._tries_without_response = 0
         self._restart_silence_timer()
         if not self._streaming:
             self._streaming = True
--- /dev/null
+++ b/tests/test_live_slow_peers.py
@@ -0,0 +1,45 @@
+"""Peers that take their time: an event bus that answers late, a desk exchange that repeats a refusal, a
+caller whose set-up arrives slowly.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import pytest
+
+from arrowrail.wire.binary import messages as binary
+from arrowrail.wire.bus import client as bus_client
+from arrowrail.wire.sip import frontend as sip_frontend
+from arrowrail.wire.sip import messages as sip
+from tests.live import (
+    Caller,
+    ListeningSocket,
+    StandInBus,
+    list_entry,
+    list_event,
+    receive_set_up,
+    running_controller,
+    send_binary,
+    to_json,
+)
+
+CALL_A, CALL_B = "00000000000000a1", "00000000000000b2"
+MS = 1_000_000
+
+
+def test_a_bus_that_takes_longer_than_the_silence_timeout_to_respond_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It used to be given up and asked anew for ever, so that no drain was learned (review/1)."""
+    monkeypatch.setattr(bus_client, "SILENCE_TIMEOUT_NS", 300 * MS)
+    server, bus = ListeningSocket(), StandInBus()
+    with running_controller(list_entry("d1", server.address, 1), bus=bus.listener.address) as run:
+        bus.listener.accept()  # the first reader gives up
+        second = bus.listener.accept()
+        time.sleep(0.45)  # longer than the timeout of the first
+        event = list_event(2, list_entry("d1", server.address, 1, "terminating"))
+        second.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+        second.sendall(b"id: 2\ndata: %s\n\n" % to_json(event))
+        run.wait_until(lambda: run.core.registry.endpoints[1].entry.state == "terminating")
