--- a/arrowrail/wire/binary/backend.py
+++ b/arrowrail/wire/binary/backend.py
@@ -16,7 +16,7 @@
 from arrowrail.wire.binary.connection import ServerConnection
 from arrowrail.wire.binary.messages import BinaryMessage
 from arrowrail.wire.binary.outcomes import release_outcome
-from arrowrail.wire.binary.pool import MAX_PENDING, ConnectionPool
+from arrowrail.wire.binary.pool import ConnectionPool
 from arrowrail.wire.binary.services import BackendServices
 
 PROBE_ID_BASE = 0xF0BE << 48  # call ids of probes start here
@@ -112,9 +112,7 @@
         if pool is None or connection is None:
             return False
         del connection.pending_set_ups[call_id]
-        pool.cancelled_set_ups[call_id] = connection
-        if len(pool.cancelled_set_ups) > MAX_PENDING:
-            del pool.cancelled_set_ups[next(iter(pool.cancelled_set_ups))]
+        pool.attempt_ended(call_id, connection)
         if connection.stream is None or connection.stream.discard_unsent(call_id):
             return True
         # Sent on the connection of the set-up: on another one the release could overtake it.
@@ -173,7 +171,9 @@
                     call_id,
                 )
                 return
-            connection.pending_set_ups.pop(call_id, None)
+            was_pending = connection.pending_set_ups.pop(call_id, None) is not None
+            if was_pending and message.message_type == binary.RELEASE:
+                pool.attempt_ended(call_id, connection)
         if message.message_type == binary.ANSWER:
             self.core.endpoint_answered(connection.endpoint, call_id, message.session_description)
         elif message.message_type == binary.RELEASE:
--- a/arrowrail/wire/binary/pool.py
+++ b/arrowrail/wire/binary/pool.py
@@ -47,8 +47,8 @@
         self.checks: list[ReachabilityCheck] = []  # oldest first
         self.may_hold_unknown_calls = False  # calls set up before the start of this process
         self.pending_releases: list[Release] = []  # releases waiting for a connection
-        # The connections of the set-ups that were cancelled last, by call id.
-        self.cancelled_set_ups: dict[str, ServerConnection] = {}
+        # The connections of the attempts that ended last without an answer, by call id.
+        self._ended_attempts: dict[str, tuple[ServerConnection, ...]] = {}
         self.connections = [ServerConnection(self) for _ in range(size)]
 
     def message_received(self, connection: ServerConnection, message: BinaryMessage) -> None:
@@ -61,20 +61,27 @@
     def least_loaded(self, call_id: str = "") -> ServerConnection:
         """The connection with the fewest pending set-ups, preferably one that is up.
 
-        A call that is tried again at this endpoint prefers another connection than before: there a late
-        answer to the first set-up can't be mistaken for an answer to the second.
+        A call that is tried again at this endpoint prefers a connection without an attempt of it: there a
+        late or second answer or refusal of an earlier one can't be mistaken for one of this attempt.
         """
-        previous = self.cancelled_set_ups.get(call_id)
+        previous = self._ended_attempts.get(call_id, ())
         return min(
             self.connections,
             key=lambda connection: (
                 not connection.up,
                 connection.stream is None,
-                connection is previous,
+                previous.count(connection),
                 len(connection.pending_set_ups),
             ),
         )
 
+    def attempt_ended(self, call_id: str, connection: ServerConnection) -> None:
+        """An attempt on this connection was cancelled or refused; more about it may still arrive there."""
+        connections = self._ended_attempts.pop(call_id, ())
+        self._ended_attempts[call_id] = (*connections, connection)
+        if len(self._ended_attempts) > MAX_PENDING:
+            del self._ended_attempts[next(iter(self._ended_attempts))]
+
     def find_connection(self, call_id: str) -> ServerConnection | None:
         return next(
             (connection for connection in self.connections if call_id in connection.pending_set_ups), None
--- a/tests/test_live_slow_peers.py
+++ b/tests/test_live_slow_peers.py
@@ -43,3 +43,28 @@
         second.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
         second.sendall(b"id: 2\ndata: %s\n\n" % to_json(event))
         run.wait_until(lambda: run.core.registry.endpoints[1].entry.state == "terminating")
+
+
+def test_a_second_copy_of_a_refusal_does_not_end_the_next_attempt() -> None:
+    """It used to come on the connection of the next attempt, so that a third ran beside it (review/2)."""
+    server = ListeningSocket()
+    with running_controller(list_entry("d1", server.address, 1), connections_per_exchange=3) as run:
+        peers = [server.accept_binary() for _ in range(3)]
+        run.wait_until(lambda: run.core.decision_module.trunk_groups[1].size > 0)
+        backend: Any = run.core.backends["binary"]
+        ports = [c.stream.sock.getsockname() for c in backend.pools[1].connections]
+        peers.sort(key=lambda peer: ports.index(peer.sock.getpeername()))
+        caller = Caller(run.port)
+        caller.invite(CALL_A)
+        receive_set_up(peers[0], CALL_A)
+        send_binary(peers[0], binary.RELEASE, CALL_A, cause=47)
+        receive_set_up(peers[1], CALL_A)
+        send_binary(peers[0], binary.RELEASE, CALL_A, cause=47)  # late, and once more
+        send_binary(peers[0], binary.PROBE, CALL_B)
+        peers[0].receive(lambda m: m.message_type == binary.PROBE_RESULT)
+        request = run.core.find(CALL_A)
+        assert request is not None and request.attempts == 2
+        send_binary(peers[1], binary.RELEASE, CALL_A, cause=47)
+        receive_set_up(peers[2], CALL_A)  # each attempt prefers a connection that had none
+        send_binary(peers[2], binary.ANSWER, CALL_A)
+        assert caller.receive_response(CALL_A).status == 200
