Send a release to callers although a stranger has confirmed it

Cause: any answer to the BYE settled it, no other connection of the same trust was tried, and a valid set-up did not look after releases.

Change: only a connection with an answered call settles a release; others get it one after the other, four at most; a valid request looks after releases.

--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -260,7 +260,7 @@
     def handle_message(self, caller: CallerConnection, message: sip.SipMessage) -> None:
         if message.status or message.method in ("ACK", "NOTIFY"):
             if message.cseq_method == "BYE":
-                self.releases.acknowledged(message.call_id)
+                self.releases.acknowledged(message.call_id, caller)
             elif message.method == "ACK":
                 self._acknowledge(message.call_id)
             return
@@ -277,7 +277,7 @@
             self.dialogs.pop(message.call_id, None)
             caller.stream.send(sip.response(200 if known else 481, message))
         elif message.method == "OPTIONS":
-            caller.has_sent_request = True
+            self._valid_request_received(caller)
             caller.stream.send(sip.response(200 if self.core.list_received else 503, message))
         else:
             caller.stream.send(sip.response(405, message))
@@ -313,11 +313,17 @@
             self._repeat_open(caller, message)
         if result is not SubmitResult.ACCEPTED:
             return
-        caller.has_sent_request = True
+        self._valid_request_received(caller)
         message.body = b""
         self.dialogs[params.call_id] = Dialog(message)
         caller.pending_calls.add(params.call_id)
 
+    def _valid_request_received(self, caller: CallerConnection) -> None:
+        """The peer speaks as a caller does: releases may be sent to it."""
+        if not caller.has_sent_request:
+            caller.has_sent_request = True
+            self.releases.deliver()
+
     def _repeat_open(self, caller: CallerConnection, message: sip.SipMessage) -> None:
         """Handle a repeated set-up whose call is open: on another connection, that one gets the response.
 
@@ -335,7 +341,7 @@
         if previous is not None:
             previous.pending_calls.discard(message.call_id)
         caller.pending_calls.add(message.call_id)
-        caller.has_sent_request = True
+        self._valid_request_received(caller)
         dialog.invite = message
         self.core.move_request(message.call_id, caller.handle)
 
--- a/arrowrail/wire/sip/releases.py
+++ b/arrowrail/wire/sip/releases.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from arrowrail.core.engine import Core
@@ -29,6 +29,9 @@
 # be over at once, and a caller must not be disconnected for not reading all of it at once.
 MAX_QUEUED_BYTES = 16 * 1024
 ROOM_WAIT_NS = 20 * MS  # until a connection without room is tried again
+# Where no connection is known to be a caller's, a release is written to up to so many of them, one after the
+# other: the first may be that of a stranger, whatever it answers.
+MAX_COPIES = 4
 MAX_TRUST_LEVEL = 2  # of a connection on which a call was answered
 
 
@@ -42,7 +45,9 @@
     expires_ns: int  # counted from the end of the call, whatever was written meanwhile
     connection_id: int = 0
     trust_level: int = 0  # of the connection it was written to
+    written_ns: int = 0  # when it was written last; 0: never
     delivered_ns: int = 0  # when it is taken for delivered if that connection is still open; 0: never
+    tried: set[int] = field(default_factory=set)  # open connections that it was written to
 
     def is_settled(self, now: int) -> bool:
         """Whether it needs no further attention: taken for delivered, or out of time."""
@@ -66,13 +71,15 @@
         else:
             self.deliver()
 
-    def acknowledged(self, call_id: str) -> None:
-        """A caller has answered the BYE."""
-        self.pending.pop(call_id, None)
+    def acknowledged(self, call_id: str, caller: CallerConnection) -> None:
+        """A peer has answered the BYE; one that is not known to be a caller may be a stranger to the call."""
+        if caller.trust_level == MAX_TRUST_LEVEL:
+            self.pending.pop(call_id, None)
 
     def connection_closed(self, handle: int) -> None:
         """Queue releases again that may be lost because the caller closed the connection meanwhile."""
         for release in self.pending.values():
+            release.tried.discard(handle)
             if release.connection_id == handle:
                 release.connection_id = release.delivered_ns = release.trust_level = 0
 
@@ -92,50 +99,55 @@
         }
 
     def deliver(self) -> None:
-        """Send waiting releases on the most trusted open connection, and again once there is a better one.
+        """Send waiting releases on the most trusted open connections, and again once there is a better one.
 
         Guards against sending releases to peers that only hold connections open: a connection on which a call
-        was answered is used at once, one that only sent a request or is new after a delay.
+        was answered is used at once, one that only sent a request or is new after a delay, and then others
+        of the same trust as well while nobody confirms the release.
         """
         if all(release.trust_level == MAX_TRUST_LEVEL for release in self.pending.values()):
             return
-        best = self._best_connection()
-        if best is None:
-            if any(caller.stream.open for caller in self.callers):
-                self._retry_after(ROOM_WAIT_NS)
-            return
-        waiting = False
-        for release in self.pending.values():
-            if release.connection_id and release.trust_level >= best.trust_level:
-                continue
-            if not _has_room(best):
-                self._retry_after(ROOM_WAIT_NS)
-                return
-            wait_ns = (MAX_TRUST_LEVEL - best.trust_level) * BETTER_CONNECTION_WAIT_NS
-            if self.loop.now - release.created_ns >= wait_ns:
-                self._write(release, best)
-            waiting = waiting or not release.connection_id
-        if waiting:
-            self._retry_after(BETTER_CONNECTION_WAIT_NS)
-
-    def _best_connection(self) -> CallerConnection | None:
-        """Return a connection that has room and that no other is more trusted than: the one used last."""
+        connections = self._most_trusted_connections()
+        waits_ns = [self._deliver_one(release, connections) for release in self.pending.values()]
+        self._retry_after(min((wait_ns for wait_ns in waits_ns if wait_ns), default=0))
+
+    def _deliver_one(self, release: PendingRelease, connections: list[CallerConnection]) -> int:
+        """Write a release if it is due; return after how long it has to be tried again, 0: not at all."""
+        level = connections[0].trust_level if connections else 0
+        is_better = not release.connection_id or release.trust_level < level
+        if not is_better and (release.trust_level == MAX_TRUST_LEVEL or len(release.tried) >= MAX_COPIES):
+            return 0
+        untried = [caller for caller in connections[: MAX_COPIES + 1] if caller.handle not in release.tried]
+        if not untried:
+            return 0
+        due_ns = release.created_ns + (MAX_TRUST_LEVEL - level) * BETTER_CONNECTION_WAIT_NS
+        if not is_better:
+            due_ns = max(due_ns, release.written_ns + BETTER_CONNECTION_WAIT_NS)
+        if due_ns > self.loop.now:
+            return due_ns - self.loop.now
+        caller = next((caller for caller in untried if _has_room(caller)), None)
+        if caller is None:
+            return ROOM_WAIT_NS
+        self._write(release, caller)
+        return 0 if level == MAX_TRUST_LEVEL else BETTER_CONNECTION_WAIT_NS
+
+    def _most_trusted_connections(self) -> list[CallerConnection]:
+        """Return the open connections that no other is more trusted than, those used last first."""
         open_connections = [caller for caller in self.callers if caller.stream.open]
         level = max((caller.trust_level for caller in open_connections), default=0)
-        return max(
-            (caller for caller in open_connections if caller.trust_level == level and _has_room(caller)),
-            key=lambda caller: caller.idle_since,
-            default=None,
-        )
+        trusted = [caller for caller in open_connections if caller.trust_level == level]
+        return sorted(trusted, key=lambda caller: caller.idle_since, reverse=True)
 
     def _retry_after(self, wait_ns: int) -> None:
         retry_at_ns = self.loop.now + wait_ns
-        if not self.loop.now < self._retry_at_ns <= retry_at_ns:
+        if wait_ns and not self.loop.now < self._retry_at_ns <= retry_at_ns:
             self._retry_at_ns = retry_at_ns
             self.loop.timers.schedule(retry_at_ns, self.deliver)
 
     def _write(self, release: PendingRelease, caller: CallerConnection) -> None:
         release.connection_id, release.trust_level = caller.handle, caller.trust_level
+        release.written_ns = self.loop.now
+        release.tried.add(caller.handle)
         if caller.has_answered_call:
             release.delivered_ns = self.loop.now + DELIVERY_GRACE_NS
         call_event("release.sent", release.call_id, "release written to connection {connection}",
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -21,6 +21,7 @@
 from arrowrail.wire.binary import pool as binary_pool
 from arrowrail.wire.bus import client as bus_client
 from arrowrail.wire.sip import frontend as sip_frontend
+from arrowrail.wire.sip import messages as sip
 from tests.live import (
     SDP,
     Caller,
@@ -824,3 +825,22 @@
         assert spawned.process.poll() is None
     finally:
         spawned.kill()
+
+
+def test_a_release_that_a_stranger_has_confirmed_goes_to_a_caller_as_well() -> None:
+    """It was written to the first connection there was and to no other of that trust (review/8)."""
+    server = ListeningSocket()
+    with running_controller(list_entry("d1", server.address, 1)) as run:
+        peer, stranger = server.accept_binary(), Caller(run.port)
+        stranger.send("OPTIONS", CALL_B)
+        assert stranger.receive().status == 200
+        send_binary(peer, binary.RELEASE, CALL_A, cause=16)  # of a call from before a restart
+        bye = stranger.receive_bye(CALL_A)
+        stranger.sock.sendall(sip.response(200, bye))
+        caller = Caller(run.port)
+        caller.send("OPTIONS", CALL_C)  # a caller whose calls are not answered yet
+        assert caller.receive_bye(CALL_A).call_id == CALL_A
+        run.wait_until(lambda: len(run.controller.frontend.callers) == 2)
+        caller.sock.settimeout(0.6)
+        with pytest.raises(TimeoutError):  # once to each connection
+            caller.receive_bye(CALL_A)
