--- a/tests/test_live_repeats.py
+++ b/tests/test_live_repeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -245,3 +246,42 @@
 
         run.run_in_loop(release_and_close)
         receive_release(desk, CALL_A)
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+def test_an_order_repeated_after_any_end_of_its_connection_has_failed(how: str) -> None:
+    """An orderly end says as little about the first attempt as a reset does."""
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        if how == "reset":
+            caller.reset()
+        elif how == "close":
+            caller.sock.close()
+        else:
+            caller.sock.shutdown(socket.SHUT_WR)
+        receive_release(desk, CALL_A)
+        assert repeat_status(run) == 500
+
+
+@pytest.mark.parametrize(("repeat", "status"), [("free", 503), ("single_shot", 500)])
+def test_an_order_repeated_during_a_shutdown_is_answered_by_what_is_known_of_it(
+    repeat: str, status: int
+) -> None:
+    """A shutdown refuses what is new, but an order that may have run has failed."""
+    with caller_and_desk(repeat) as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        run.run_in_loop(lambda: run.controller.begin_shutdown(15))
+        caller.reset()
+        receive_release(desk, CALL_A)
+        assert repeat_status(run) == status
+
+
+def test_an_open_order_is_failed_at_the_end_of_a_shutdown_and_not_refused() -> None:
+    with caller_and_desk() as (run, caller, desk):
+        caller.invite(CALL_A)
+        receive_set_up(desk, CALL_A)
+        run.run_in_loop(lambda: run.controller.begin_shutdown(15))
+        assert caller.receive_response(CALL_A).status == 500
+        assert repeat_status(run) == 500
