Split the SIP frontend and the core's repeats into modules of their own

Need: wire/sip/frontend.py and releases.py imported each other, and both files had grown.

No behaviour changes. Tests set constants where they are now; 297 tests of the core, both frontends and the sidecar pass.

--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from arrowrail.core.repeats import RepeatedCalls
 from arrowrail.core.requests import (
     ESTABLISHED,
     FAILED,
@@ -32,11 +33,11 @@
     SubmitResult,
 )
 from arrowrail.core.rules import violated_rule
-from arrowrail.deduplication.repeats import RepeatDecision, decide_repeat, may_refuse, proves_never_ran
+from arrowrail.deduplication.repeats import proves_never_ran
 from arrowrail.failure_detection.address_reuse import find_predecessors, find_superseded
 from arrowrail.limits.memory import MemoryBudget
 from arrowrail.shutdown.plan import ShutdownPlan
-from arrowrail.state.ended_calls import RETENTION_NS, EndedCall, EndedCalls
+from arrowrail.state.ended_calls import EndedCalls
 from arrowrail.state.endpoints import TERMINATED, Endpoint, EndpointEntry, EndpointRegistry
 from arrowrail.state.established_calls import EstablishedCalls
 from arrowrail.state.slots import SlotTable
@@ -52,11 +53,6 @@
 OVERDUE_GRACE_NS = 10 * MS
 DEFAULT_MEMORY_BUDGET_BYTES = 24 * 1024 * 1024
 MEMORY_RETRY_AFTER_NS = 1_000 * MS  # for callers whose set-ups are refused for lack of memory
-RESULT_BY_REPEAT_DECISION = {
-    RepeatDecision.REFUSE: SubmitResult.REFUSED,
-    RepeatDecision.FAIL: SubmitResult.FAILED,
-    RepeatDecision.CONFLICT: SubmitResult.CONFLICT,
-}
 
 
 class Core:
@@ -76,8 +72,7 @@
         self.requests: SlotTable[Request] = SlotTable()
         self.request_handles: dict[str, int] = {}
         self.memory_budget = MemoryBudget(memory_budget_bytes)
-        self.ended_calls = EndedCalls()
-        self._single_run_classes = {c.name for c in settings.classes if not c.repeatable}
+        self.repeated_calls = RepeatedCalls(settings.classes)
         self.backends: dict[str, Backend] = {}
         self.frontends: list[Frontend] = []
         self.events: list[interface.Event] = []
@@ -90,6 +85,11 @@
         self.shutdown_plan: ShutdownPlan | None = None  # set once shutdown has begun
         self.established_calls = EstablishedCalls()
 
+    @property
+    def ended_calls(self) -> EndedCalls:
+        """The calls that have ended of late."""
+        return self.repeated_calls.ended
+
     @property
     def now(self) -> int:
         return self.timers.now
@@ -157,17 +157,13 @@
 
     def repeat_result(self, frontend: Frontend, params: SetUpParams) -> SubmitResult:
         """What becomes of a set-up, by what is known of its call id; changes nothing."""
-        fingerprint = params.fingerprint()
         request = self.find(params.call_id)
         if request is not None:
-            same_call = request.fingerprint == fingerprint and request.frontend is frontend
+            same_call = request.fingerprint == params.fingerprint() and request.frontend is frontend
             return SubmitResult.OPEN if same_call else SubmitResult.CONFLICT
-        ended = self.ended_calls.get(params.call_id)
-        if ended is None:
-            return SubmitResult.ACCEPTED
-        decision = decide_repeat(ended, fingerprint, self._is_repeatable(params))
-        if decision is not RepeatDecision.ACCEPT:
-            return RESULT_BY_REPEAT_DECISION[decision]
+        result = self.repeated_calls.decide(params)
+        if result is not SubmitResult.ACCEPTED or params.call_id not in self.ended_calls:
+            return result
         if any(getattr(known, "call_id", "") == params.call_id for known in self.events):
             # The decision module has not yet been told of the end of the first one, and would mix them up.
             return SubmitResult.REFUSED
@@ -179,16 +175,13 @@
         if request is not None:
             request.connection_id = connection_id
 
-    def _is_repeatable(self, params: SetUpParams) -> bool:
-        return (params.route or params.class_name) not in self._single_run_classes
-
     def reject(self, call_id: str) -> str:
         """Cancel a set-up that its frontend answers by itself; return the result: REFUSED or FAILED."""
         request = self.find(call_id)
         if request is None:
             return FAILED
         self.caller_abandoned(call_id, will_respond=True)
-        return REFUSED if may_refuse(request.may_have_run, self._is_repeatable(request.params)) else FAILED
+        return REFUSED if self.repeated_calls.may_refuse(request) else FAILED
 
     def supports_class(self, class_name: str) -> bool:
         """Whether set-ups of the class can be accepted at all."""
@@ -281,12 +274,7 @@
                 call_event("release.unknown_call", call_id,
                            "released by {server}, unknown here; passed on to callers",
                            server=endpoint.entry.uid)  # fmt: skip
-                self.ended_calls.add(
-                    call_id,
-                    EndedCall(
-                        self.now + RETENTION_NS, None, attempted=True, may_have_run=True, has_response=True
-                    ),
-                )
+                self.repeated_calls.record_earlier(self.now, call_id)
                 for frontend in self.frontends:
                     frontend.release_unknown(call_id, cause)
             return
@@ -577,7 +565,7 @@
             return
         if request.current_attempt is not None:
             self._cancel_attempt(request, request.current_attempt, "called_off")
-        if not may_refuse(request.may_have_run, self._is_repeatable(request.params)):
+        if not self.repeated_calls.may_refuse(request):
             result = FAILED
         outcome, cause = request.last_outcome
         self.metrics.count(f"request.{result}", outcome)
@@ -643,16 +631,7 @@
             request.deadline_timer.cancel()
         self.requests.remove(request.handle)
         del self.request_handles[request.params.call_id]
-        self.ended_calls.add(
-            request.params.call_id,
-            EndedCall(
-                self.now + RETENTION_NS,
-                request.fingerprint,
-                attempted=request.attempts > 0,
-                may_have_run=request.may_have_run,
-                has_response=request.has_response,
-            ),
-        )
+        self.repeated_calls.record(self.now, request)
 
     def _set_up_finished(self, request: Request) -> None:
         if request.is_held:
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-import re
 import socket
 from dataclasses import dataclass, field
 
@@ -16,30 +15,22 @@
     REFUSED,
     FinalResponse,
     Request,
-    SetUpParams,
     SubmitResult,
 )
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
-from arrowrail.wire.bad_input import MessageTimeout, RateLimitedWarning
+from arrowrail.wire.bad_input import RateLimitedWarning
 from arrowrail.wire.input_stage import InputStage
 from arrowrail.wire.listener import Listener
 from arrowrail.wire.sip import messages as sip
 from arrowrail.wire.sip.answers import UnacknowledgedAnswers
+from arrowrail.wire.sip.caller import CallerConnection
+from arrowrail.wire.sip.invite import parse_invite
 from arrowrail.wire.sip.releases import ReleaseDelivery
-from arrowrail.wire.stream import Stream
 
-MAX_QUEUED_BYTES = 96 * 1024  # per connection; queues of hundreds of connections have to fit into memory
-# A caller with more than this queued for it doesn't read its responses: no further request of it is read, and
-# it is disconnected after a while.
-PAUSE_READING_BYTES = 16 * 1024
-PAUSED_TIMEOUT_NS = 3_000 * MS
+PAUSED_TIMEOUT_NS = 3_000 * MS  # for a caller that doesn't read its responses
 # Callers close connections after 4 s without calls: one that is idle for this long has lost its peer.
 IDLE_TIMEOUT_NS = 20_000 * MS
-# A caller has to get a response or a close within 3 s.  One that has stopped within a message, or sends none,
-# is closed after the first time; one whose bytes keep coming has the second one to complete its message.
-MESSAGE_TIMEOUT_NS = 2_000 * MS
-LONGEST_MESSAGE_NS = 2_800 * MS
 # Callers close connections after 4 s without calls: one that is idle for longer is held by its peer.
 EVICTABLE_IDLE_NS = 5_000 * MS
 FIRST_MESSAGE_GRACE_NS = 250 * MS  # a new connection without input is evicted only after this time
@@ -48,70 +39,6 @@
 RESERVED_DESCRIPTORS = 80
 
 
-class CallerConnection:
-    """One connection from a caller; it carries many calls."""
-
-    __slots__ = (
-        "frontend",
-        "handle",
-        "has_answered_call",
-        "has_sent_request",
-        "idle_since",
-        "message_timeout",
-        "parser",
-        "pending_calls",
-        "serial",
-        "stream",
-    )
-
-    def __init__(self, frontend: SipFrontend, sock: socket.socket) -> None:
-        self.frontend = frontend
-        self.parser = sip.SipParser()
-        self.pending_calls: set[str] = set()  # set-ups without a final response
-        self.idle_since = frontend.loop.now
-        self.has_sent_request = False  # at least one valid set-up or OPTIONS
-        self.has_answered_call = False  # a set-up received on it was answered
-        # Breaks ties between connections accepted in one event loop iteration, so that the newest of them is
-        # not evicted as the one idle for longest.
-        self.serial = frontend.accepted_count = frontend.accepted_count + 1
-        self.handle = frontend.callers.add(self)
-        self.message_timeout = MessageTimeout(
-            frontend.loop, MESSAGE_TIMEOUT_NS, self._on_message_timeout, LONGEST_MESSAGE_NS
-        )
-        self.message_timeout.update(True, False)  # a silent caller is disconnected as well
-        self.stream = Stream(
-            frontend.loop, sock, self, max_queued_bytes=MAX_QUEUED_BYTES,
-            pause_reading_bytes=PAUSE_READING_BYTES, input_stage=frontend.input_stage,
-        )  # fmt: skip
-
-    @property
-    def trust_level(self) -> int:
-        """How likely the peer is a caller that handles releases, from 0 to 2."""
-        return 2 if self.has_answered_call else int(self.has_sent_request)
-
-    def connected(self) -> None:
-        pass  # accepted connections are up from the start
-
-    def received(self, data: bytes) -> None:
-        self.idle_since = self.frontend.loop.now
-        messages = self.parser.feed(data)
-        self.message_timeout.update(self.parser.pending, bool(messages))
-        for message in messages:
-            if isinstance(message, sip.Malformed):
-                self.frontend.handle_malformed(self, message)
-            else:
-                self.frontend.handle_message(self, message)
-            if self.stream.closing or not self.stream.open:
-                return  # input after an unreadable message can't be parsed reliably
-
-    def _on_message_timeout(self) -> None:
-        """The caller sent nothing, or stopped in the middle of a message."""
-        self.frontend.close_gracefully(self)
-
-    def lost(self, _error: OSError | None) -> None:
-        self.frontend.connection_closed(self)
-
-
 @dataclass(slots=True)
 class Dialog:
     """The data needed to answer a set-up and to release the call later."""
@@ -438,48 +365,3 @@
 
 STATUS_BY_RESULT = {REFUSED: 503, FAILED: 500}
 STATUS_BY_SUBMIT_RESULT = {SubmitResult.REFUSED: 503, SubmitResult.FAILED: 500}
-
-
-HEX = re.compile(r"[0-9a-f]{1,16}")
-INTEGER = re.compile(r"-?[0-9]{1,12}")
-
-
-def _parse_integer(text: str, low: int, high: int) -> int:
-    # Plain digits only: int() also accepts spaces and digits of other scripts, which other systems don't.
-    if not INTEGER.fullmatch(text) or not low <= int(text) <= high:
-        raise ValueError(f"invalid or out-of-range number {text[:20]!r}")
-    return int(text)
-
-
-def parse_invite(message: sip.SipMessage, now: int, routed: bool = False) -> SetUpParams:
-    """The parameters of a set-up from its INVITE; ``ValueError`` names a missing or invalid field.
-
-    ``routed``: the route follows from the called number or ``X-District``, so that X-Facts is not needed.
-    """
-    headers = message.headers
-    for name in ("subject", "x-patience") if routed else ("subject", "x-patience", "x-facts"):
-        if name not in headers:
-            raise ValueError(f"header {name} is missing")
-    number = message.uri.removeprefix("sip:").partition("@")[0]
-    if not HEX.fullmatch(number.lower()):
-        raise ValueError("called number is not 1 to 16 hex digits")
-    if len(message.call_id) != 16 or not HEX.fullmatch(message.call_id):
-        raise ValueError("Call-ID is not 16 hex digits")
-    if not message.body:
-        raise ValueError("session description is missing")
-    patience_ms = _parse_integer(headers["x-patience"], 0, 86_400_000)
-    if routed:
-        return SetUpParams(
-            message.call_id, headers["subject"], number, int(number, 16), -1, 1, now + patience_ms * MS,
-            message.body, redialled="x-retry" in headers, district=headers.get("x-district", ""),
-        )  # fmt: skip
-    facts = dict(part.split(":", 1) for part in headers["x-facts"].split(";") if ":" in part)
-    if "dest" not in facts:
-        raise ValueError("x-facts has no dest")
-    return SetUpParams(
-        message.call_id, headers["subject"], number, int(number, 16),
-        _parse_integer(facts["dest"], 0, 1 << 20), _parse_integer(facts.get("width", "1"), 1, 1024),
-        now + patience_ms * MS, message.body,
-        facts.get("transit") == "1", "x-retry" in headers, facts.get("again") == "1",
-        _parse_integer(facts.get("via", "-1"), -1, 1 << 20),
-    )  # fmt: skip
--- a/arrowrail/wire/sip/releases.py
+++ b/arrowrail/wire/sip/releases.py
@@ -8,16 +8,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from arrowrail.core.engine import Core
 from arrowrail.core.requests import MS
 from arrowrail.loop import Loop
 from arrowrail.state.slots import SlotTable
 from arrowrail.telemetry.events import call_event, event, first_ids
-
-if TYPE_CHECKING:
-    from arrowrail.wire.sip.frontend import CallerConnection
+from arrowrail.wire.sip.caller import CallerConnection
 
 RELEASE_LIFETIME_NS = 8_000 * MS  # how long a release waits for a connection before it is dropped
 # How long a release waits for a connection with a higher trust level; at most twice this time.
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -11,6 +11,7 @@
 from arrowrail.limits.memory import REQUEST_OVERHEAD_BYTES, MemoryBudget
 from arrowrail.scheduling import input_order
 from arrowrail.scheduling.input_order import HALVING_NS, SLICE_NS, TURN_NS, InputOrder
+from arrowrail.wire.sip import caller as sip_caller
 from arrowrail.wire.sip import frontend as sip_frontend
 from arrowrail.wire.sip import messages as sip
 from tests.live import Caller, ListeningSocket, list_entry, receive_set_up, running_controller
@@ -76,7 +77,7 @@
                 caller.sock.sendall(request)
         (connection,) = run.run_in_loop(lambda: list(run.controller.frontend.callers))
         assert connection.stream.reading_paused
-        assert connection.stream.queued_bytes < sip_frontend.PAUSE_READING_BYTES + 4 * len(request)
+        assert connection.stream.queued_bytes < sip_caller.PAUSE_READING_BYTES + 4 * len(request)
         monkeypatch.setattr(sip_frontend, "PAUSED_TIMEOUT_NS", 100_000_000)
         run.wait_until(lambda: len(run.controller.frontend.callers) == 0)
         assert Caller(run.port).sock  # others are accepted
--- a/tests/test_live_sip.py
+++ b/tests/test_live_sip.py
@@ -20,6 +20,7 @@
 from arrowrail.wire.binary import messages as binary
 from arrowrail.wire.binary import pool as binary_pool
 from arrowrail.wire.bus import client as bus_client
+from arrowrail.wire.sip import caller as sip_caller
 from arrowrail.wire.sip import frontend as sip_frontend
 from arrowrail.wire.sip import messages as sip
 from tests.live import (
@@ -545,7 +546,7 @@
 def test_silent_and_stalled_callers_are_closed_and_idle_ones_are_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(sip_frontend, "MESSAGE_TIMEOUT_NS", 600_000_000)
+    monkeypatch.setattr(sip_caller, "MESSAGE_TIMEOUT_NS", 600_000_000)
     server = ListeningSocket()
     with running_controller(list_entry("d1", server.address, 1)) as run:
         peer, quiet, half = server.accept_binary(), Caller(run.port), Caller(run.port)
--- a/tests/test_live_slow_peers.py
+++ b/tests/test_live_slow_peers.py
@@ -11,7 +11,7 @@
 
 from arrowrail.wire.binary import messages as binary
 from arrowrail.wire.bus import client as bus_client
-from arrowrail.wire.sip import frontend as sip_frontend
+from arrowrail.wire.sip import caller as sip_caller
 from arrowrail.wire.sip import messages as sip
 from tests.live import (
     Caller,
@@ -74,8 +74,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A slow set-up was discarded, and what was open beside it was refused (review/10)."""
-    monkeypatch.setattr(sip_frontend, "MESSAGE_TIMEOUT_NS", 400 * MS)
-    monkeypatch.setattr(sip_frontend, "LONGEST_MESSAGE_NS", 900 * MS)
+    monkeypatch.setattr(sip_caller, "MESSAGE_TIMEOUT_NS", 400 * MS)
+    monkeypatch.setattr(sip_caller, "LONGEST_MESSAGE_NS", 900 * MS)
     server = ListeningSocket()
     with running_controller(list_entry("d1", server.address, 1)) as run:
         desk, caller, trickling = server.accept_binary(), Caller(run.port), Caller(run.port)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -30,7 +30,7 @@
     ProtocolData,
 )
 from arrowrail.wire.sip import messages as sip
-from arrowrail.wire.sip.frontend import parse_invite
+from arrowrail.wire.sip.invite import parse_invite
 
 
 def parse_both_ways(make: Callable[[], Callable[[bytes], Any]], data: bytes) -> list[Any]:
