--- a/arrowrail/core/engine.py
+++ b/arrowrail/core/engine.py
@@ -52,6 +52,7 @@
 # respond, and the response still falls within the tolerance of all known installations.
 OVERDUE_GRACE_NS = 10 * MS
 DEFAULT_MEMORY_BUDGET_BYTES = 24 * 1024 * 1024
+MAX_KEPT_DESCRIPTION_BYTES = 1024  # of an established call; a longer one is dropped
 MEMORY_RETRY_AFTER_NS = 1_000 * MS  # for callers whose set-ups are refused for lack of memory
 
 
@@ -250,7 +251,9 @@
         if self.admission is not None:
             self.events += self.admission.attempt_ended(self.now, endpoint, "served", 0)
         self._cancel_timers(request, attempt)
-        request.params = replace(request.params, session_description=b"")  # no further attempt needs it
+        if len(request.params.session_description) > MAX_KEPT_DESCRIPTION_BYTES:
+            # No further attempt needs it.
+            request.params = replace(request.params, session_description=b"")
         self.metrics.count("request.stands")
         call_event("request.stands", call_id, "established at {server} by attempt {attempt}",
                    server=endpoint.entry.uid, attempt=attempt.number)  # fmt: skip
