End with a connection only the calls that are still its own

Callers would see: a set-up that was given up unsent, as its caller had left, came again on a new connection; when the end of the first one was read, the new one was given up and never answered.

Found by reading; the new test fails without the check of the request's connection.

--- a/arrowrail/wire/m3ua/frontend.py
+++ b/arrowrail/wire/m3ua/frontend.py
@@ -154,11 +154,13 @@
     def _handle_iam(
         self, association: Association, key: CircuitKey, previous: Circuit | None, message: IsupMessage
     ) -> None:
-        if previous is not None and not previous.clearing:
+        withheld = previous is not None and self.core.find(previous.call_id) is None  # its client had left
+        if previous is not None and not previous.clearing and not withheld:
             self._handle_repeated_iam(association, previous, message)
             return
         if previous is not None:
-            self._remove_circuit(previous)  # the client reuses the circuit, so it has received the release
+            # The client reuses the circuit: it has received the release, or its first IAM was given up.
+            self._remove_circuit(previous)
         circuit = Circuit(os.urandom(8).hex(), key, association.handle)
         self.circuits[key] = circuit
         given_up = self._given_up.pop(key, "")
--- a/arrowrail/wire/sip/frontend.py
+++ b/arrowrail/wire/sip/frontend.py
@@ -118,10 +118,20 @@
     def close_gracefully(self, caller: CallerConnection) -> None:
         """Reject the pending calls of a connection with unusable input, and close it."""
         for call_id in list(caller.pending_calls):
-            self._reject_pending(call_id, caller)
+            if self._owns(caller, call_id):
+                self._reject_pending(call_id, caller)
         self.connection_closed(caller)
         caller.stream.close_gracefully(self._on_closed)
 
+    def _owns(self, caller: CallerConnection, call_id: str) -> bool:
+        """Whether a pending call of a connection is still its own, and not open on another one by now.
+
+        A set-up that was given up because its caller had left may have come again before the end of its first
+        connection is read.
+        """
+        request = self.core.find(call_id)
+        return request is None or request.connection_id == caller.handle
+
     def _on_closed(self) -> None:
         if self.listener is not None:
             self.listener.resume()
@@ -161,8 +171,9 @@
             return
         caller.message_timeout.cancel()
         for call_id in caller.pending_calls:
-            self.dialogs.pop(call_id, None)
-            self.core.caller_abandoned(call_id)
+            if self._owns(caller, call_id):
+                self.dialogs.pop(call_id, None)
+                self.core.caller_abandoned(call_id)
         caller.pending_calls = set()
         self.releases.connection_closed(caller.handle)
         self.releases.deliver()
--- a/arrowrail/wire/sip/releases.py
+++ b/arrowrail/wire/sip/releases.py
@@ -116,17 +116,15 @@
         is_better = not release.connection_id or release.trust_level < level
         if not is_better and (release.trust_level == MAX_TRUST_LEVEL or len(release.tried) >= MAX_COPIES):
             return 0
-        untried = [caller for caller in connections[: MAX_COPIES + 1] if caller.handle not in release.tried]
-        if not untried:
-            return 0
         due_ns = release.created_ns + (MAX_TRUST_LEVEL - level) * BETTER_CONNECTION_WAIT_NS
         if not is_better:
             due_ns = max(due_ns, release.written_ns + BETTER_CONNECTION_WAIT_NS)
         if due_ns > self.loop.now:
             return due_ns - self.loop.now
+        untried = [caller for caller in connections if caller.handle not in release.tried]
         caller = next((caller for caller in untried if _has_room(caller)), None)
         if caller is None:
-            return ROOM_WAIT_NS
+            return ROOM_WAIT_NS if untried else 0
         self._write(release, caller)
         return 0 if level == MAX_TRUST_LEVEL else BETTER_CONNECTION_WAIT_NS
 
--- a/tests/test_live_repeats.py
+++ b/tests/test_live_repeats.py
@@ -285,3 +285,23 @@
         run.run_in_loop(lambda: run.controller.begin_shutdown(15))
         assert caller.receive_response(CALL_A).status == 500
         assert repeat_status(run) == 500
+
+
+def test_the_end_of_a_first_connection_does_not_end_its_set_up_on_the_next_one() -> None:
+    """A set-up that was given up unsent comes again before the end of its first connection is read."""
+    with caller_and_desk() as (run, caller, desk):
+        send_binary(desk, binary.GROUP_STATE, "0" * 16, free=0, size=10)
+        run.wait_until(lambda: run.core.decision_module.trunk_groups[1].free == 0)
+        caller.invite(CALL_A)
+        run.wait_until(lambda: run.core.find(CALL_A) is not None)
+        (first,) = run.run_in_loop(lambda: list(run.controller.frontend.callers))
+        run.run_in_loop(lambda: run.core.caller_abandoned(CALL_A))  # as if its caller had been seen to leave
+        again = Caller(run.port)
+        again.invite(CALL_A)
+        run.wait_until(lambda: run.core.find(CALL_A) is not None)
+        run.run_in_loop(lambda: first.stream.fail(None))
+        assert run.run_in_loop(lambda: run.core.find(CALL_A) is not None)
+        send_binary(desk, binary.GROUP_STATE, "0" * 16, free=10, size=10)
+        receive_set_up(desk, CALL_A)
+        send_binary(desk, binary.ANSWER, CALL_A)
+        assert again.receive_response(CALL_A).status == 200
